Add the schema, checked settings, documents, cookies and datagrams

Cause: the repository was empty; every other part needs these modules. Change: design page, message and settings schema with committed generated code, INI settings and published documents checked as a whole, versioned

Conclusion: the interfaces are settled far enough to build the parts side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: all setup test lint format schema binary demo bench bench-policy bench-membership measures fuzz test-mutants clean
+
+all: lint test
+
+setup: $(STAMP)
+
+$(STAMP): requirements/dev.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --requirement requirements/dev.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+test: setup
+	$(BIN)/python tests/run.py
+
+lint: setup
+	$(BIN)/ruff format --check src tests tools
+	$(BIN)/ruff check src tests tools
+	$(BIN)/flake8 src
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+format: setup
+	$(BIN)/ruff format src tests tools
+	$(BIN)/ruff check --fix src tests tools
+
+schema: setup
+	$(BIN)/python -m grpc_tools.protoc -I schema --python_out=src --grpclib_python_out=src --mypy_out=src \
+	  --plugin=protoc-gen-grpclib_python=$(BIN)/protoc-gen-grpclib_python \
+	  --plugin=protoc-gen-mypy=$(BIN)/protoc-gen-mypy \
+	  cardamomtiller/wire.proto cardamomtiller/peer.proto cardamomtiller/settings.proto cardamomtiller/document.proto
+	rm -f src/cardamomtiller/wire_grpc.py src/cardamomtiller/settings_grpc.py src/cardamomtiller/document_grpc.py
+
+binary: setup
+	$(BIN)/python tools/build_binary.py
+
+demo: setup
+	$(BIN)/python -m tools.demo
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/src/cardamomtiller/__init__.py
@@ -0,0 +1,1 @@
+"""Layer-4 load balancer whose instances keep no durable state."""
--- /dev/null
+++ b/src/cardamomtiller/codec.py
@@ -0,0 +1,170 @@
+"""Datagrams: version, MAC and bounded decoding; splitting into chunks."""
+
+import hashlib
+import hmac
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from google.protobuf.message import DecodeError
+from returns.result import Failure, Result, Success
+
+from cardamomtiller.identity import FLOW_ID_BYTES, FlowId
+from cardamomtiller.wire_pb2 import Packet, PeerDatagram
+
+WIRE_VERSION = 1
+MAC_BYTES = 8
+HEADER_BYTES = 1 + MAC_BYTES
+LARGEST_DATAGRAM_BYTES = 1350
+LARGEST_PEER_DATAGRAM_BYTES = 2000
+CHUNK_BYTES = 1100
+WINDOW_BITS = 64
+FLOW_KEY_BYTES = 32
+
+
+def derive_flow_key(secret: bytes, flow: FlowId) -> bytes:
+    """Return the key of a flow under a customer's secret, 32 bytes."""
+    digest = hashlib.blake2b(flow, digest_size=FLOW_KEY_BYTES, key=secret)
+    return digest.digest()
+
+
+def encode_packet(packet: Packet, flow_key: bytes) -> bytes:
+    """Return the datagram of a packet."""
+    return _seal(packet.SerializeToString(), flow_key)
+
+
+def decode_packet(datagram: bytes) -> Result[Packet, str]:
+    """
+    Decode a datagram without checking its MAC.
+
+    Returns
+    -------
+    Result
+        The packet, or the name of the counter that says why it is not valid.
+    """
+    if len(datagram) > LARGEST_DATAGRAM_BYTES:
+        return Failure('packet.oversized')
+    if len(datagram) <= HEADER_BYTES:
+        return Failure('packet.malformed')
+    if datagram[0] != WIRE_VERSION:
+        return Failure('packet.unknown_version')
+    try:
+        packet = Packet.FromString(datagram[HEADER_BYTES:])
+    except DecodeError:
+        return Failure('packet.malformed')
+    if len(packet.flow_id) != FLOW_ID_BYTES or packet.WhichOneof('body') is None:
+        return Failure('packet.malformed')
+    return Success(packet)
+
+
+def is_authentic(datagram: bytes, flow_keys: Iterable[bytes]) -> bool:
+    """Return whether one of the keys made the datagram's MAC."""
+    mac = datagram[1:HEADER_BYTES]
+    body = datagram[HEADER_BYTES:]
+    return any(hmac.compare_digest(_mac(key, body), mac) for key in flow_keys)
+
+
+def encode_peer(message: PeerDatagram, cluster_key: bytes) -> bytes:
+    """Return the datagram of a message between instances."""
+    return _seal(message.SerializeToString(), cluster_key)
+
+
+def decode_peer(
+    datagram: bytes,
+    cluster_keys: Iterable[bytes],
+) -> Result[PeerDatagram, str]:
+    """
+    Check and decode a datagram from another instance.
+
+    Returns
+    -------
+    Result
+        The message, or the name of the counter that says why it is not valid.
+    """
+    if len(datagram) > LARGEST_PEER_DATAGRAM_BYTES:
+        return Failure('peer.oversized')
+    if len(datagram) <= HEADER_BYTES or datagram[0] != WIRE_VERSION:
+        return Failure('peer.malformed')
+    if not is_authentic(datagram, cluster_keys):
+        return Failure('peer.forged')
+    try:
+        return Success(PeerDatagram.FromString(datagram[HEADER_BYTES:]))
+    except DecodeError:
+        return Failure('peer.malformed')
+
+
+def split_chunks(body: bytes) -> tuple[bytes, ...]:
+    """Return the body in parts of ``CHUNK_BYTES``; an empty body is one part."""
+    starts = range(0, max(len(body), 1), CHUNK_BYTES)
+    return tuple(body[start : start + CHUNK_BYTES] for start in starts)
+
+
+@dataclass(slots=True)
+class Reassembly:
+    """Collect the chunks of one body in any order."""
+
+    chunk_count: int
+    chunks: dict[int, bytes] = field(default_factory=dict)
+    next_index: int = 0
+    bytes_held: int = 0
+
+    def add(self, index: int, payload: bytes) -> None:
+        """Add a chunk; duplicates and indexes out of range are ignored."""
+        if index >= self.chunk_count or index in self.chunks:
+            return
+        self.chunks[index] = payload
+        self.bytes_held += len(payload)
+        while self.next_index in self.chunks:
+            self.next_index += 1
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether every chunk has arrived."""
+        return self.next_index >= self.chunk_count
+
+    def bitmap(self) -> int:
+        """Return a bit for each of the 64 chunks after ``next_index``."""
+        bits = 0
+        for offset in range(WINDOW_BITS):
+            if self.next_index + 1 + offset in self.chunks:
+                bits |= 1 << offset
+        return bits
+
+    def body(self) -> bytes:
+        """Return the whole body; only valid when complete."""
+        return b''.join(self.chunks[index] for index in range(self.chunk_count))
+
+
+@dataclass(slots=True)
+class ChunkSender:
+    """Track which chunks of a body the other end has acknowledged."""
+
+    chunks: tuple[bytes, ...]
+    next_index: int = 0
+    received: set[int] = field(default_factory=set)
+
+    def acknowledge(self, next_index: int, bitmap: int) -> None:
+        """Take an acknowledgement; older ones never take anything back."""
+        self.next_index = max(self.next_index, next_index)
+        for offset in range(WINDOW_BITS):
+            if bitmap >> offset & 1:
+                self.received.add(next_index + 1 + offset)
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether every chunk is acknowledged."""
+        return self.next_index >= len(self.chunks)
+
+    def missing(self, window: int) -> Iterator[int]:
+        """Iterate over the chunks to send, at most ``window`` ahead."""
+        end = min(self.next_index + window, len(self.chunks))
+        for index in range(self.next_index, end):
+            if index not in self.received:
+                yield index
+
+
+def _seal(body: bytes, key: bytes) -> bytes:
+    return bytes((WIRE_VERSION,)) + _mac(key, body) + body
+
+
+def _mac(key: bytes, body: bytes) -> bytes:
+    return hashlib.blake2b(body, digest_size=MAC_BYTES, key=key).digest()
--- /dev/null
+++ b/src/cardamomtiller/cookie.py
@@ -0,0 +1,97 @@
+"""Sealed cookies that carry the route of a flow."""
+
+import hashlib
+import hmac
+from collections import OrderedDict
+
+from google.protobuf.message import DecodeError
+from returns.result import Failure, Result, Success
+
+from cardamomtiller.document import KeyRow
+from cardamomtiller.identity import FlowId
+from cardamomtiller.wire_pb2 import Cookie
+
+MAC_BYTES = 16
+LARGEST_COOKIE_BYTES = 400
+COOKIES_CACHED = 50_000
+
+
+class CookieSealer:
+    """
+    Seal cookies with the current key and open them with every accepted one.
+
+    A sealed cookie is one byte of key id, 16 bytes of MAC over the flow id and
+    the message, and the message. It is authenticated and not encrypted.
+    """
+
+    def __init__(self) -> None:
+        """Start without keys; nothing can be opened."""
+        self._keys: dict[int, bytes] = {}
+        self._current: KeyRow | None = None
+        self._cache: OrderedDict[tuple[FlowId, bytes], Cookie] = OrderedDict()
+
+    def set_keys(self, keys: dict[int, KeyRow]) -> None:
+        """Replace the keys; cookies under keys that are gone stop opening."""
+        secrets = {key_id: row.secret for key_id, row in keys.items()}
+        if secrets != self._keys:
+            self._cache.clear()
+        self._keys = secrets
+        self._current = next((row for row in keys.values() if row.is_current), None)
+
+    def seal(self, flow: FlowId, cookie: Cookie) -> bytes:
+        """
+        Return the sealed form of a cookie.
+
+        Raises
+        ------
+        LookupError
+            If no key is current.
+        """
+        if self._current is None:
+            raise LookupError('no sealing key is published')
+        body = cookie.SerializeToString(deterministic=True)
+        key_id = self._current.key_id
+        mac = _mac(self._current.secret, key_id, flow, body)
+        return bytes((key_id,)) + mac + body
+
+    def open(self, flow: FlowId, sealed: bytes) -> Result[Cookie, str]:
+        """
+        Check and decode a sealed cookie.
+
+        Returns
+        -------
+        Result
+            The cookie, which callers must not change, or the name of the
+            counter that says why it is not valid.
+        """
+        cached = self._cache.get((flow, sealed))
+        if cached is not None:
+            return Success(cached)
+        if not MAC_BYTES < len(sealed) <= LARGEST_COOKIE_BYTES:
+            return Failure('cookie.malformed')
+        secret = self._keys.get(sealed[0])
+        if secret is None:
+            return Failure('cookie.unknown_key')
+        body = sealed[1 + MAC_BYTES :]
+        expected = _mac(secret, sealed[0], flow, body)
+        if not hmac.compare_digest(expected, sealed[1 : 1 + MAC_BYTES]):
+            return Failure('cookie.forged')
+        try:
+            cookie = Cookie.FromString(body)
+        except DecodeError:
+            return Failure('cookie.malformed')
+        self._remember(flow, sealed, cookie)
+        return Success(cookie)
+
+    def _remember(self, flow: FlowId, sealed: bytes, cookie: Cookie) -> None:
+        self._cache[(flow, sealed)] = cookie
+        if len(self._cache) > COOKIES_CACHED:
+            self._cache.popitem(last=False)
+
+
+def _mac(secret: bytes, key_id: int, flow: FlowId, body: bytes) -> bytes:
+    digest = hashlib.blake2b(digest_size=MAC_BYTES, key=secret)
+    digest.update(bytes((key_id,)))
+    digest.update(flow)
+    digest.update(body)
+    return digest.digest()
--- /dev/null
+++ b/src/cardamomtiller/counter.py
@@ -0,0 +1,85 @@
+"""Counters, gauges and timers, and the sender to statsd."""
+
+import threading
+from collections.abc import Mapping
+
+import statsd
+
+from cardamomtiller.identity import Endpoint
+
+TIMINGS_KEPT = 10_000
+
+
+class Counters:
+    """
+    Count events by name.
+
+    Counters are updated by the thread that owns the object and read by the
+    sender; single dictionary operations need no lock.
+    """
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self._counts: dict[str, int] = {}
+        self._gauges: dict[str, float] = {}
+        self._timings_ms: list[tuple[str, float]] = []
+
+    def add(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self._counts[name] = self._counts.get(name, 0) + amount
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._gauges[name] = value
+
+    def time_ms(self, name: str, value_ms: float) -> None:
+        """Record one duration in milliseconds."""
+        if len(self._timings_ms) < TIMINGS_KEPT:
+            self._timings_ms.append((name, value_ms))
+
+    def count(self, name: str) -> int:
+        """Return the value of a counter."""
+        return self._counts.get(name, 0)
+
+    def counts(self) -> Mapping[str, int]:
+        """Return a copy of all counters."""
+        return dict(self._counts)
+
+    def gauges(self) -> Mapping[str, float]:
+        """Return a copy of all gauges."""
+        return dict(self._gauges)
+
+    def take_timings_ms(self) -> list[tuple[str, float]]:
+        """Return the durations recorded since the last call."""
+        taken = self._timings_ms
+        self._timings_ms = []
+        return taken
+
+
+class StatsdSender:
+    """Send the growth of counters, the gauges and the timers to statsd."""
+
+    def __init__(self, counters: Counters, address: Endpoint, prefix: str) -> None:
+        """Open the socket; nothing is sent yet."""
+        self._counters = counters
+        self._sent: dict[str, int] = {}
+        self._client = statsd.StatsClient(address.host, address.port, prefix)
+
+    def send(self) -> None:
+        """Send once."""
+        with self._client.pipeline() as pipeline:
+            for name, total in self._counters.counts().items():
+                growth = total - self._sent.get(name, 0)
+                self._sent[name] = total
+                if growth:
+                    pipeline.incr(name, growth)
+            for name, value in self._counters.gauges().items():
+                pipeline.gauge(name, value)
+            for name, value_ms in self._counters.take_timings_ms():
+                pipeline.timing(name, value_ms)
+
+    def run(self, interval_s: float, stop: threading.Event) -> None:
+        """Send at an interval until ``stop`` is set, and once more then."""
+        while not stop.wait(interval_s):
+            self.send()
+        self.send()
--- /dev/null
+++ b/src/cardamomtiller/identity.py
@@ -0,0 +1,88 @@
+"""Names, states and units that every module shares."""
+
+import ipaddress
+from dataclasses import dataclass
+from enum import Enum
+from typing import NewType
+
+ServiceName = NewType('ServiceName', str)
+CustomerId = NewType('CustomerId', str)
+PlanName = NewType('PlanName', str)
+UpstreamId = NewType('UpstreamId', str)
+InstanceId = NewType('InstanceId', str)
+DomainName = NewType('DomainName', str)
+RegionName = NewType('RegionName', str)
+DocumentName = NewType('DocumentName', str)
+Version = NewType('Version', int)
+FlowId = NewType('FlowId', bytes)
+RequestId = NewType('RequestId', int)
+Incarnation = NewType('Incarnation', int)
+
+MS_PER_S = 1000
+FLOW_ID_BYTES = 16
+
+
+class OperatorState(Enum):
+    """State that operators publish for an upstream or an instance."""
+
+    JOINING = 'joining'
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+class ServiceClass(Enum):
+    """Priority class of a request; the values are those of the wire."""
+
+    NORMAL = 0
+    URGENT = 1
+    BULK = 2
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Endpoint:
+    """IP address and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the form that settings and documents use."""
+        if ':' in self.host:
+            return f'[{self.host}]:{self.port}'
+        return f'{self.host}:{self.port}'
+
+    def as_pair(self) -> tuple[str, int]:
+        """Return the form that sockets take."""
+        return (self.host, self.port)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestKey:
+    """Identity of one request over all its packets."""
+
+    flow: FlowId
+    request: RequestId
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """
+    Read ``HOST:PORT`` or ``[HOST]:PORT``.
+
+    Raises
+    ------
+    ValueError
+        If the port is missing or outside 1 to 65535, or the host is not an IP
+        number.
+    """
+    host, separator, port_text = text.strip().rpartition(':')
+    if not separator or not port_text.isdecimal():
+        raise ValueError(f'{text!r} is not HOST:PORT')
+    port = int(port_text)
+    if not 0 < port <= 65535:
+        raise ValueError(f'port {port} of {text!r} is not between 1 and 65535')
+    host = host.removeprefix('[').removesuffix(']')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise ValueError(f'host of {text!r} is not an IP number') from error
+    return Endpoint(host, port)
--- /dev/null
+++ b/src/cardamomtiller/rendezvous.py
@@ -0,0 +1,67 @@
+"""Rendezvous hashing, plain and with bounded load."""
+
+import hashlib
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from typing import TypeVar
+
+NodeT = TypeVar('NodeT', bound=str)
+KeyT = TypeVar('KeyT', bound=str)
+
+SCORE_BYTES = 8
+
+
+def score(key: str | bytes, node: str) -> int:
+    """Return the weight of a node for a key, a 64-bit number."""
+    data = key.encode() if isinstance(key, str) else key
+    digest = hashlib.blake2b(
+        data,
+        digest_size=SCORE_BYTES,
+        key=node.encode()[: hashlib.blake2b.MAX_KEY_SIZE],
+    )
+    return int.from_bytes(digest.digest(), 'big')
+
+
+def rank(key: str | bytes, nodes: Iterable[NodeT]) -> list[NodeT]:
+    """Return the nodes by falling weight for a key; ties go by name."""
+    return sorted(nodes, key=lambda node: (-score(key, node), node))
+
+
+def pick(key: str | bytes, nodes: Iterable[NodeT]) -> NodeT | None:
+    """Return the node with the highest weight, or None if there are none."""
+    return min(nodes, key=lambda node: (-score(key, node), node), default=None)
+
+
+def assign_bounded(
+    keys: Sequence[KeyT],
+    nodes: Sequence[NodeT],
+    load_factor: float,
+) -> Mapping[KeyT, NodeT]:
+    """
+    Assign each key to a node so that no node has too many.
+
+    Parameters
+    ----------
+    keys
+        Keys; the result does not depend on their order.
+    nodes
+        Nodes; the result does not depend on their order.
+    load_factor
+        Largest load as a multiple of the mean, at least 1.
+
+    Returns
+    -------
+    Mapping
+        Node of each key; empty if there are no nodes. No node has more than
+        ``ceil(load_factor * len(keys) / len(nodes))`` keys.
+    """
+    if not nodes:
+        return {}
+    capacity = math.ceil(load_factor * len(keys) / len(nodes))
+    loads = dict.fromkeys(nodes, 0)
+    assigned: dict[KeyT, NodeT] = {}
+    for key in sorted(keys):
+        node = next(node for node in rank(key, nodes) if loads[node] < capacity)
+        loads[node] += 1
+        assigned[key] = node
+    return assigned
--- /dev/null
+++ b/src/cardamomtiller/settings.py
@@ -0,0 +1,56 @@
+"""Settings of one instance, read from an INI file and checked as a whole."""
+
+from pathlib import Path
+
+from returns.result import Failure, Result, Success
+
+from cardamomtiller import ini
+from cardamomtiller.finding import Finding, Findings, Place
+from cardamomtiller.settings_pb2 import Settings
+
+
+def parse_settings(text: str, source: str) -> Result[Settings, tuple[Finding, ...]]:
+    """
+    Read settings from INI text.
+
+    Parameters
+    ----------
+    text
+        INI text; each section is a field of the schema's ``Settings``.
+    source
+        File name for the findings.
+
+    Returns
+    -------
+    Result
+        The settings, or every finding.
+    """
+    findings = Findings()
+    sections = ini.parse_ini(text, source, findings)
+    settings = Settings()
+    names = settings.DESCRIPTOR.fields_by_name
+    for unknown in sorted(set(sections) - set(names)):
+        findings.add(Place(source, unknown), 'unknown section')
+    for name in names:
+        message = getattr(settings, name)
+        message.SetInParent()
+        ini.read_section(sections.get(name, {}), message, Place(source, name), findings)
+    if len(findings):
+        return Failure(findings.as_tuple())
+    return Success(settings)
+
+
+def load_settings(path: Path) -> Result[Settings, tuple[Finding, ...]]:
+    """
+    Read settings from a file.
+
+    Returns
+    -------
+    Result
+        The settings, or every finding; a file that cannot be read is one.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure((Finding(Place(str(path)), f'cannot be read: {error}'),))
+    return parse_settings(text, str(path))
--- /dev/null
+++ b/src/cardamomtiller/snapshot.py
@@ -0,0 +1,119 @@
+"""Versioned snapshot of the published documents; versions only rise."""
+
+import hashlib
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from returns.result import Failure, Result, Success
+
+from cardamomtiller.catalog import Catalog, build_catalog
+from cardamomtiller.document import Document, Row, parse_document
+from cardamomtiller.finding import Finding
+from cardamomtiller.identity import DocumentName, Version
+
+DIGEST_BYTES = 8
+
+
+class Offer(Enum):
+    """What became of an offered document."""
+
+    TAKEN = 'taken'
+    SAME = 'same'
+    OLDER = 'older'
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """A document that was taken, its rows, and when it was taken."""
+
+    document: Document
+    rows: tuple[Row, ...]
+    taken_ms: float
+
+
+class SnapshotStore:
+    """
+    Hold the newest valid version of each document.
+
+    A lower version is ignored and a document with findings is refused as a
+    whole, so the last good version stays in force.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._held: dict[DocumentName, Held] = {}
+        self._catalog = Catalog()
+        self._digest = _digest({})
+        self.refused: dict[DocumentName, tuple[Finding, ...]] = {}
+
+    @property
+    def catalog(self) -> Catalog:
+        """Return the lookups over all documents."""
+        return self._catalog
+
+    def versions(self) -> Mapping[DocumentName, Version]:
+        """Return the version held of each document."""
+        return {name: held.document.version for name, held in self._held.items()}
+
+    def documents(self) -> Iterator[Document]:
+        """Iterate over the documents by name."""
+        for name in sorted(self._held):
+            yield self._held[name].document
+
+    def newer_than(
+        self, versions: Mapping[DocumentName, Version]
+    ) -> Iterator[Document]:
+        """Iterate over the documents that a holder of ``versions`` lacks."""
+        for document in self.documents():
+            if document.version > versions.get(document.name, Version(-1)):
+                yield document
+
+    def digest(self) -> bytes:
+        """Return 8 bytes that differ when any version differs."""
+        return self._digest
+
+    def offer(
+        self,
+        document: Document,
+        now_ms: float,
+    ) -> Result[Offer, tuple[Finding, ...]]:
+        """
+        Take a document if it is newer than the one held and has no findings.
+
+        Parameters
+        ----------
+        document
+            Document from the configuration service or from a peer.
+        now_ms
+            Monotonic time in milliseconds.
+
+        Returns
+        -------
+        Result
+            What became of it, or every finding.
+        """
+        held = self._held.get(document.name)
+        if held and document.version <= held.document.version:
+            is_same = document.version == held.document.version
+            return Success(Offer.SAME if is_same else Offer.OLDER)
+        parsed = parse_document(document)
+        if isinstance(parsed, Failure):
+            findings = parsed.failure()
+            self.refused[document.name] = findings
+            return Failure(findings)
+        self.refused.pop(document.name, None)
+        self._held[document.name] = Held(document, parsed.unwrap(), now_ms)
+        self._rebuild()
+        return Success(Offer.TAKEN)
+
+    def _rebuild(self) -> None:
+        self._digest = _digest(self.versions())
+        names = sorted(self._held)
+        rows = (row for name in names for row in self._held[name].rows)
+        self._catalog = build_catalog(rows)
+
+
+def _digest(versions: Mapping[DocumentName, Version]) -> bytes:
+    text = '\n'.join(f'{name} {versions[name]}' for name in sorted(versions))
+    return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
--- /dev/null
+++ b/tests/run.py
@@ -0,0 +1,132 @@
+"""Run every behave feature and close with a line ``N passed, N failed``.
+
+Feature files run in processes of their own. Files tagged ``@live`` start real
+processes and measure time, so fewer of them run at once.
+"""
+
+import json
+import os
+import re
+import subprocess
+import sys
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+FEATURES = ROOT / 'tests' / 'features'
+KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+FEATURE_TIMEOUT_S = 600
+PARALLEL = 4
+PARALLEL_LIVE = 2
+
+
+@dataclass(frozen=True)
+class ScenarioResult:
+    """Outcome of one scenario."""
+
+    name: str
+    is_passed: bool
+
+
+@dataclass(frozen=True)
+class FeatureResult:
+    """Outcome of one feature file."""
+
+    path: Path
+    scenarios: tuple[ScenarioResult, ...]
+    output: str
+
+
+def main() -> int:
+    """Run the features named in the arguments, or all."""
+    paths = [Path(name).resolve() for name in sys.argv[1:]]
+    paths = paths or sorted(FEATURES.rglob('*.feature'))
+    results = list(run_all(paths))
+    known = read_known_red()
+    passed = failed = 0
+    for result in results:
+        for scenario in result.scenarios:
+            name = f'{result.path.relative_to(ROOT)}: {scenario.name}'
+            if scenario.is_passed:
+                passed += 1
+            elif name in known:
+                print(f'known red: {name}')
+            else:
+                failed += 1
+                print(f'failed: {name}')
+        if not all(scenario.is_passed for scenario in result.scenarios):
+            print(result.output)
+    print(f'{passed} passed, {failed} failed')
+    return 1 if failed or not passed else 0
+
+
+def run_all(paths: list[Path]) -> Iterator[FeatureResult]:
+    """Run all features, the live ones last."""
+    live = [path for path in paths if '@live' in path.read_text()]
+    others = [path for path in paths if path not in live]
+    for group, workers in ((others, PARALLEL), (live, PARALLEL_LIVE)):
+        with ThreadPoolExecutor(workers) as pool:
+            yield from pool.map(run_feature, group)
+
+
+def run_feature(path: Path) -> FeatureResult:
+    """Run one feature file in a process of its own."""
+    report = ROOT / 'build' / 'behave' / f'{path.stem}.json'
+    report.parent.mkdir(parents=True, exist_ok=True)
+    report.unlink(missing_ok=True)
+    command = [
+        sys.executable,
+        '-m',
+        'behave',
+        '--no-color',
+        '--no-capture',
+        '--format=json',
+        f'--outfile={report}',
+        '--format=plain',
+        str(path),
+    ]
+    environment = {**os.environ, 'PYTHONPATH': f'{ROOT / "src"}:{ROOT}'}
+    try:
+        done = subprocess.run(
+            command,
+            cwd=ROOT,
+            env=environment,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            timeout=FEATURE_TIMEOUT_S,
+        )
+    except subprocess.TimeoutExpired as error:
+        output = f'timed out after {FEATURE_TIMEOUT_S} s\n{error.output}'
+        failure = ScenarioResult('(whole file timed out)', is_passed=False)
+        return FeatureResult(path, (failure,), output)
+    scenarios = tuple(read_report(report))
+    if not scenarios or (done.returncode and all(row.is_passed for row in scenarios)):
+        scenarios += (ScenarioResult('(whole file)', is_passed=False),)
+    print(f'{path.relative_to(ROOT)}: {len(scenarios)} scenarios', flush=True)
+    return FeatureResult(path, scenarios, done.stdout)
+
+
+def read_report(report: Path) -> Iterator[ScenarioResult]:
+    """Iterate over the scenarios of a JSON report of behave."""
+    if not report.exists() or not report.stat().st_size:
+        return
+    for feature in json.loads(report.read_text()):
+        for element in feature.get('elements', ()):
+            if element['type'] == 'scenario':
+                is_passed = element['status'] == 'passed'
+                yield ScenarioResult(element['name'], is_passed)
+
+
+def read_known_red() -> frozenset[str]:
+    """Return the scenarios that are known to fail."""
+    if not KNOWN_RED.exists():
+        return frozenset()
+    pattern = re.compile('^test: (.+)$', re.MULTILINE)
+    return frozenset(pattern.findall(KNOWN_RED.read_text()))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tools/build_binary.py
@@ -0,0 +1,76 @@
+"""Build one file that runs with the Python of the machine.
+
+The file is a compressed zipapp with pure-Python builds of the libraries, since
+extension modules cannot be loaded from a zip file without unpacking to disk.
+"""
+
+import shutil
+import subprocess
+import sys
+import zipapp
+from collections.abc import Iterable
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+BUILD = ROOT / 'build'
+STAGE = BUILD / 'stage'
+TARGET = BUILD / 'cardamomtiller'
+RUNTIME_LOCK = ROOT / 'requirements' / 'runtime.lock'
+PURE_ONLY = (
+    '--platform=any',
+    '--implementation=py',
+    '--abi=none',
+    '--only-binary=:all:',
+)
+LEFT_OUT = ('*.so', '*.pyi', '__pycache__', '*.c', 'tests', 'bin')
+
+
+def main() -> None:
+    """Install into a folder and pack it."""
+    shutil.rmtree(STAGE, ignore_errors=True)
+    STAGE.mkdir(parents=True)
+    install((*PURE_ONLY, '--requirement', str(RUNTIME_LOCK)))
+    install(('--no-build-isolation', str(ROOT)))
+    for pattern in LEFT_OUT:
+        for path in sorted(STAGE.rglob(pattern)):
+            remove(path)
+    (STAGE / '__main__.py').write_text(
+        "from cardamomtiller.cli import app\n\napp(prog_name='cardamomtiller')\n",
+    )
+    zipapp.create_archive(
+        STAGE,
+        TARGET,
+        interpreter='/usr/bin/env python3',
+        compressed=True,
+    )
+    size_mb = TARGET.stat().st_size / 1_000_000
+    print(f'{TARGET.relative_to(ROOT)}: {size_mb:.1f} MB')
+
+
+def install(arguments: Iterable[str]) -> None:
+    """Install with pip into the folder, pure-Python builds only."""
+    command = [
+        sys.executable,
+        '-m',
+        'pip',
+        'install',
+        '--quiet',
+        '--disable-pip-version-check',
+        '--no-deps',
+        '--target',
+        str(STAGE),
+        *arguments,
+    ]
+    subprocess.run(command, check=True)
+
+
+def remove(path: Path) -> None:
+    """Remove a file or a folder."""
+    if path.is_dir():
+        shutil.rmtree(path)
+    elif path.exists():
+        path.unlink()
+
+
+if __name__ == '__main__':
+    main()
