--- /dev/null
+++ b/tools/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems outside the balancer, for tests and experiments."""
--- /dev/null
+++ b/tools/standins/admin.py
@@ -0,0 +1,113 @@
+"""Small HTTP server through which a test controls a stand-in."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+LARGEST_BODY_BYTES = 4_000_000
+REQUEST_TIMEOUT_S = 30
+
+
+@dataclass(frozen=True, slots=True)
+class AdminRequest:
+    """One request: the query's last value per key, and the body."""
+
+    path: str
+    query: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class AdminAnswer:
+    """Answer of a handler; ``content`` is encoded as JSON unless it is text."""
+
+    content: object
+    status: int = 200
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+Handler = Callable[[AdminRequest], Awaitable[AdminAnswer] | AdminAnswer]
+
+
+async def serve_admin(
+    address: tuple[str, int],
+    handlers: Mapping[tuple[str, str], Handler],
+) -> asyncio.Server:
+    """
+    Serve handlers by method and path.
+
+    A path that ends in ``/`` also handles every path below it.
+    """
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S * 4):
+                await _answer_one(reader, writer, handlers)
+        except (TimeoutError, OSError, ValueError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(answer, *address)
+
+
+async def _answer_one(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    handlers: Mapping[tuple[str, str], Handler],
+) -> None:
+    line = (await reader.readline()).decode('latin-1').split()
+    if len(line) < 2:
+        return
+    length = 0
+    while header := (await reader.readline()).strip():
+        name, _, value = header.decode('latin-1').partition(':')
+        if name.lower() == 'content-length':
+            length = min(int(value), LARGEST_BODY_BYTES)
+    body = await reader.readexactly(length)
+    parts = urlsplit(line[1])
+    query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
+    handler = _find(handlers, line[0], parts.path)
+    if handler is None:
+        result = AdminAnswer({'error': 'not found'}, status=404)
+    else:
+        result = await _call(handler, AdminRequest(parts.path, query, body))
+    writer.write(_encode(result))
+    await writer.drain()
+
+
+async def _call(handler: Handler, request: AdminRequest) -> AdminAnswer:
+    try:
+        made = handler(request)
+        return made if isinstance(made, AdminAnswer) else await made
+    except (ValueError, LookupError) as error:
+        return AdminAnswer({'error': str(error)}, status=400)
+
+
+def _find(
+    handlers: Mapping[tuple[str, str], Handler], method: str, path: str
+) -> Handler | None:
+    while path:
+        if (method, path) in handlers:
+            return handlers[(method, path)]
+        path = path.rstrip('/').rpartition('/')[0] + '/' if path != '/' else ''
+    return None
+
+
+def _encode(result: AdminAnswer) -> bytes:
+    if isinstance(result.content, str):
+        kind, body = 'text/plain', result.content.encode()
+    else:
+        kind, body = 'application/json', json.dumps(result.content).encode()
+    lines = [
+        f'HTTP/1.1 {result.status} {"OK" if result.status < 400 else "Error"}',
+        f'Content-Type: {kind}; charset=utf-8',
+        f'Content-Length: {len(body)}',
+        'Connection: close',
+        *(f'{name}: {value}' for name, value in result.headers.items()),
+    ]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
--- /dev/null
+++ b/tools/standins/upstream.py
@@ -0,0 +1,607 @@
+"""Stand-in of an upstream: the far end of the link of an instance."""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import random
+import secrets
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from google.protobuf.message import DecodeError
+
+from cardamomtiller.identity import parse_endpoint
+from cardamomtiller.wire_pb2 import (
+    REASON_SHED,
+    REASON_STALE_GENERATION,
+    REASON_UNKNOWN_FLOW,
+    Drain,
+    FlowClose,
+    FlowList,
+    FlowOpen,
+    FlowOpened,
+    FlowPing,
+    FlowPong,
+    FlowRecord,
+    Hello,
+    LoadReport,
+    PushFrame,
+    PushFrameAck,
+    Reason,
+    RunAnswer,
+    RunRequest,
+    RunShed,
+    UpstreamFrame,
+    UpstreamLoad,
+)
+from tools.standins.admin import AdminAnswer, AdminRequest, serve_admin
+
+LARGEST_FRAME_BYTES = 1 << 20
+LENGTH_BYTES = 4
+FLOWS_PER_LIST = 200
+ANSWER_CHUNK_BYTES = 64 * 1024
+PUSH_RESEND_MS = 300
+PUSHES_IN_FLIGHT = 4
+LOAD_REPORT_MS = 500
+TICK_S = 0.05
+# A slow factor above this makes the load report unhealthy.
+UNHEALTHY_FACTOR = 3
+COLD_FACTOR = 4
+# Bytes that one link may have waiting before it is closed.
+LARGEST_BACKLOG_BYTES = 32 << 20
+
+
+@dataclass(slots=True)
+class Behaviour:
+    """Options that the admin port changes while the upstream runs."""
+
+    slots: int = 2
+    drain: int = 0
+    slow_factor: float = 1
+    shed_share: float = 0
+    lie_healthy: int = 0
+    cold_ms: float = 0
+    push_interval_ms: float = 0
+    flow_idle_ms: float = 30_000
+    mute: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Link:
+    """One connection of an instance."""
+
+    writer: asyncio.StreamWriter
+    instance: str = ''
+    bodies: dict[tuple[bytes, int], dict[int, bytes]] = field(default_factory=dict)
+    is_open: bool = True
+
+    def send(self, frame: UpstreamFrame) -> None:
+        """Send a frame; a frame on a broken link is dropped."""
+        if not self.is_open:
+            return
+        body = frame.SerializeToString()
+        self.writer.write(len(body).to_bytes(LENGTH_BYTES, 'big') + body)
+        backlog = self.writer.transport.get_write_buffer_size()
+        if backlog > LARGEST_BACKLOG_BYTES:
+            self.is_open = False
+            self.writer.transport.abort()
+
+
+@dataclass(slots=True)
+class Flow:
+    """An open flow: its record and the link that serves it."""
+
+    record: FlowRecord
+    link: Link
+    used_ms: float
+    pushed_ms: float
+    next_push_id: int = 1
+    pushes: dict[int, tuple[float, bytes]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Execution:
+    """One run of a request."""
+
+    flow: str
+    request_id: int
+    token: str
+    op: str
+    service_class: int
+    is_idempotent: bool
+    started_ms: float
+    ended_ms: float = 0
+    outcome: str = 'running'
+
+
+class Upstream:
+    """State and behaviour of one upstream process."""
+
+    def __init__(
+        self, name: str, service: str, behaviour: Behaviour, seed: int = 0
+    ) -> None:
+        """Start without flows and with a new incarnation."""
+        self.name = name
+        self.service = service
+        self.behaviour = behaviour
+        self.incarnation = secrets.randbits(64)
+        self.flows: dict[bytes, Flow] = {}
+        self.links: set[Link] = set()
+        self.counts: Counter[str] = Counter()
+        self.executions: list[Execution] = []
+        self.store: dict[str, str] = {}
+        self.busy_ms = 0.0
+        self.log_fd: int | None = None
+        self._random = random.Random(f'{seed} {name}')
+        self._seen: set[tuple[bytes, int]] = set()
+        self._running: dict[asyncio.Task[None], tuple[bytes, int]] = {}
+        self._cold_since_ms = now_ms()
+        self._drained_ms: float | None = None
+        self._last_new_flow_after_drain_ms = 0.0
+
+    async def serve_link(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection until it ends."""
+        link = Link(writer)
+        self.links.add(link)
+        self.counts['links_accepted'] += 1
+        hello = Hello(
+            upstream=self.name,
+            service=self.service,
+            incarnation=self.incarnation,
+            slots=self.behaviour.slots,
+        )
+        link.send(UpstreamFrame(hello=hello))
+        for flow_list in self._flow_lists():
+            link.send(UpstreamFrame(flow_list=flow_list))
+        link.send(self._load_report())
+        if self.behaviour.drain:
+            link.send(UpstreamFrame(drain=Drain(is_draining=True)))
+        try:
+            await self._read_frames(reader, link)
+        except (OSError, asyncio.IncompleteReadError, DecodeError, ValueError):
+            self.counts['links_broken'] += 1
+        finally:
+            link.is_open = False
+            self.links.discard(link)
+            writer.close()
+
+    async def _read_frames(self, reader: asyncio.StreamReader, link: Link) -> None:
+        while True:
+            header = await reader.readexactly(LENGTH_BYTES)
+            length = int.from_bytes(header, 'big')
+            if length > LARGEST_FRAME_BYTES:
+                raise ValueError(f'frame of {length} bytes')
+            frame = UpstreamFrame.FromString(await reader.readexactly(length))
+            if not self.behaviour.mute:
+                self._handle(link, frame)
+
+    def _handle(self, link: Link, frame: UpstreamFrame) -> None:
+        match frame.WhichOneof('body'):
+            case 'hello':
+                self._take_hello(link, frame.hello)
+            case 'flow_open':
+                self._open_flow(link, frame.flow_open)
+            case 'flow_ping':
+                self._ping(link, frame.flow_ping)
+            case 'flow_close':
+                self._close_flow(frame.flow_close)
+            case 'run_request':
+                self._collect(link, frame.run_request)
+            case 'cancel_run':
+                cancel = frame.cancel_run
+                self._cancel((cancel.flow_id, cancel.request_id))
+            case 'push_frame_ack':
+                self._take_push_ack(frame.push_frame_ack)
+            case name:
+                self.counts[f'unexpected_{name}'] += 1
+
+    def _take_hello(self, link: Link, hello: Hello) -> None:
+        link.instance = hello.instance
+        if hello.service and hello.service != self.service:
+            self.counts['misrouted_hellos'] += 1
+
+    def _flow_lists(self) -> Iterator[FlowList]:
+        records = [flow.record for flow in self.flows.values()]
+        starts = range(0, max(len(records), 1), FLOWS_PER_LIST)
+        for start in starts:
+            yield FlowList(
+                flows=records[start : start + FLOWS_PER_LIST],
+                is_last=start == starts[-1],
+            )
+
+    def _open_flow(self, link: Link, message: FlowOpen) -> None:
+        record = message.flow
+        held = self.flows.get(record.flow_id)
+        opened = FlowOpened(flow_id=record.flow_id, generation=record.generation)
+        if held and record.generation <= held.record.generation:
+            opened.refusal = REASON_STALE_GENERATION
+            opened.held_generation = held.record.generation
+            self.counts['flow_opens_refused'] += 1
+        elif held:
+            held.record = record
+            held.link = link
+            held.used_ms = now_ms()
+            self.counts['flow_opens_resumed'] += 1
+        else:
+            self.flows[record.flow_id] = Flow(record, link, now_ms(), now_ms())
+            self.counts['flow_opens_new'] += 1
+            self._note_new_flow()
+        link.send(UpstreamFrame(flow_opened=opened))
+
+    def _note_new_flow(self) -> None:
+        if self._drained_ms is not None:
+            self.counts['flow_opens_after_drain'] += 1
+            self._last_new_flow_after_drain_ms = now_ms() - self._drained_ms
+
+    def _ping(self, link: Link, message: FlowPing) -> None:
+        record = message.flow
+        pong = FlowPong(flow_id=record.flow_id)
+        held = self.flows.get(record.flow_id)
+        if held is None or record.generation > held.record.generation:
+            pong.refusal = REASON_UNKNOWN_FLOW
+        elif record.generation < held.record.generation:
+            pong.refusal = REASON_STALE_GENERATION
+        else:
+            held.record = record
+            held.link = link
+            held.used_ms = now_ms()
+        self.counts['pings'] += 1
+        link.send(UpstreamFrame(flow_pong=pong))
+
+    def _close_flow(self, message: FlowClose) -> None:
+        held = self.flows.get(message.flow_id)
+        if held and message.generation >= held.record.generation:
+            del self.flows[message.flow_id]
+            self.counts['flows_closed'] += 1
+
+    def _take_push_ack(self, message: PushFrameAck) -> None:
+        flow = self.flows.get(message.flow_id)
+        if flow and flow.pushes.pop(message.push_id, None):
+            flow.used_ms = now_ms()
+            self.counts['pushes_acknowledged'] += 1
+
+    def _collect(self, link: Link, message: RunRequest) -> None:
+        key = (message.flow_id, message.request_id)
+        chunks = link.bodies.setdefault(key, {})
+        chunks[message.chunk_index] = message.payload
+        if len(chunks) < max(message.chunk_count, 1):
+            return
+        # One verdict per request, and only after its last chunk: a second shed
+        # could be taken for the verdict on the next attempt.
+        del link.bodies[key]
+        refusal = self._refusal(message)
+        if refusal:
+            self._shed(link, key, refusal)
+            return
+        body = b''.join(chunks[index] for index in sorted(chunks))
+        self._start(link, message, body)
+
+    def _refusal(self, message: RunRequest) -> Reason | None:
+        flow = self.flows.get(message.flow_id)
+        if flow is None or message.generation > flow.record.generation:
+            return REASON_UNKNOWN_FLOW
+        if message.generation < flow.record.generation:
+            return REASON_STALE_GENERATION
+        flow.used_ms = now_ms()
+        if len(self._running) >= self.behaviour.slots:
+            return REASON_SHED
+        return None
+
+    def _shed(self, link: Link, key: tuple[bytes, int], reason: Reason) -> None:
+        self.counts['sheds'] += 1
+        self.counts[f'sheds_{Reason.Name(reason).lower()}'] += 1
+        shed = RunShed(
+            flow_id=key[0], request_id=key[1], reason=reason, retry_after_ms=50
+        )
+        link.send(UpstreamFrame(run_shed=shed))
+
+    def _start(self, link: Link, message: RunRequest, body: bytes) -> None:
+        key = (message.flow_id, message.request_id)
+        if self._random.random() < self.behaviour.shed_share:
+            self._shed(link, key, REASON_SHED)
+            return
+        header, _, rest = body.partition(b'\n')
+        try:
+            order = json.loads(header)
+        except ValueError:
+            order = {}
+        if order.get('service', self.service) != self.service:
+            self.counts['misrouted_requests'] += 1
+        if key in self._seen:
+            name = 'repeated_idempotent' if message.is_idempotent else 'double_runs'
+            self.counts[name] += 1
+        self._seen.add(key)
+        execution = Execution(
+            flow=message.flow_id.hex(),
+            request_id=message.request_id,
+            token=str(order.get('token', '')),
+            op=str(order.get('op', 'echo')),
+            service_class=message.service_class,
+            is_idempotent=message.is_idempotent,
+            started_ms=now_ms(),
+        )
+        self.executions.append(execution)
+        self._log('start', execution)
+        self.counts['runs_started'] += 1
+        run = self._run(link, message, order, rest, execution)
+        task = asyncio.get_running_loop().create_task(run)
+        self._running[task] = key
+        task.add_done_callback(lambda done: self._end(done, execution))
+
+    async def _run(
+        self,
+        link: Link,
+        message: RunRequest,
+        order: dict[str, object],
+        rest: bytes,
+        execution: Execution,
+    ) -> None:
+        work_ms = float(str(order.get('work_ms', 0))) * self._factor()
+        timeout_ms = message.timeout_ms or float('inf')
+        await asyncio.sleep(min(work_ms, timeout_ms) / 1000)
+        if work_ms > timeout_ms:
+            execution.outcome = 'timed_out'
+            return
+        answer = self._perform(order, rest)
+        execution.outcome = 'finished'
+        if not link.is_open:
+            self.counts['answers_dropped'] += 1
+        starts = range(0, max(len(answer), 1), ANSWER_CHUNK_BYTES)
+        for index, start in enumerate(starts):
+            frame = RunAnswer(
+                flow_id=message.flow_id,
+                request_id=message.request_id,
+                chunk_index=index,
+                chunk_count=len(starts),
+                payload=answer[start : start + ANSWER_CHUNK_BYTES],
+                run_ms=int(now_ms() - execution.started_ms),
+            )
+            link.send(UpstreamFrame(run_answer=frame))
+
+    def _perform(self, order: dict[str, object], rest: bytes) -> bytes:
+        key = str(order.get('key', ''))
+        op = order.get('op', 'echo')
+        if op == 'write':
+            self.store[key] = rest.decode('utf-8', 'replace')
+            return b'written'
+        if op == 'read':
+            return self.store.get(key, '').encode()
+        size = int(str(order.get('answer_bytes', 0)))
+        if not size:
+            return rest
+        pattern = rest or b'.'
+        return (pattern * (size // len(pattern) + 1))[:size]
+
+    def _end(self, task: asyncio.Task[None], execution: Execution) -> None:
+        self._running.pop(task, None)
+        execution.ended_ms = now_ms()
+        if task.cancelled():
+            execution.outcome = 'cancelled'
+        self.busy_ms += execution.ended_ms - execution.started_ms
+        self.counts[f'runs_{execution.outcome}'] += 1
+        self._log('end', execution)
+
+    def _cancel(self, key: tuple[bytes, int]) -> None:
+        for link in self.links:
+            link.bodies.pop(key, None)
+        for task, running in tuple(self._running.items()):
+            if running == key:
+                task.cancel()
+
+    def _factor(self) -> float:
+        factor = self.behaviour.slow_factor
+        if now_ms() - self._cold_since_ms < self.behaviour.cold_ms:
+            factor *= COLD_FACTOR
+        return factor
+
+    def _log(self, event: str, execution: Execution) -> None:
+        """Write one line at once, so that a killed process loses none."""
+        if self.log_fd is None:
+            return
+        row = {
+            'event': event,
+            'upstream': self.name,
+            'flow': execution.flow,
+            'request_id': execution.request_id,
+            'token': execution.token,
+            'is_idempotent': execution.is_idempotent,
+            'outcome': execution.outcome,
+        }
+        os.write(self.log_fd, json.dumps(row).encode() + b'\n')
+
+    def _load_report(self) -> UpstreamFrame:
+        options = self.behaviour
+        is_well = options.shed_share == 0 and self._factor() <= UNHEALTHY_FACTOR
+        load = UpstreamLoad(
+            open_flows=len(self.flows),
+            running_requests=len(self._running),
+            slots=options.slots,
+            is_healthy=is_well or bool(options.lie_healthy),
+        )
+        return UpstreamFrame(load_report=LoadReport(load=load))
+
+    async def run_timers(self) -> None:
+        """Send pushes and load reports, and drop idle flows."""
+        reported_ms = 0.0
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = now_ms()
+            if self.behaviour.mute:
+                continue
+            for flow_id, flow in tuple(self.flows.items()):
+                self._tick_flow(flow_id, flow, now)
+            if now - reported_ms >= LOAD_REPORT_MS:
+                reported_ms = now
+                report = self._load_report()
+                for link in self.links:
+                    link.send(report)
+
+    def _tick_flow(self, flow_id: bytes, flow: Flow, now: float) -> None:
+        if now - flow.used_ms > self.behaviour.flow_idle_ms:
+            del self.flows[flow_id]
+            self.counts['flows_idle'] += 1
+            return
+        for push_id, (sent_ms, payload) in tuple(flow.pushes.items()):
+            if now - sent_ms >= PUSH_RESEND_MS:
+                self.counts['pushes_resent'] += 1
+                self._send_push(flow, push_id, payload)
+        interval_ms = self.behaviour.push_interval_ms
+        is_due = interval_ms and now - flow.pushed_ms >= interval_ms
+        if is_due and len(flow.pushes) < PUSHES_IN_FLIGHT:
+            flow.pushed_ms = now
+            body = {
+                'service': self.service,
+                'upstream': self.name,
+                'incarnation': self.incarnation,
+                'number': flow.next_push_id,
+            }
+            self.counts['pushes'] += 1
+            self._send_push(flow, flow.next_push_id, json.dumps(body).encode())
+            flow.next_push_id += 1
+
+    def _send_push(self, flow: Flow, push_id: int, payload: bytes) -> None:
+        flow.pushes[push_id] = (now_ms(), payload)
+        frame = PushFrame(flow_id=flow.record.flow_id, push_id=push_id, payload=payload)
+        flow.link.send(UpstreamFrame(push_frame=frame))
+
+    def stats(self, _request: AdminRequest) -> AdminAnswer:
+        """Return counters, flows and runs."""
+        running_ms = sum(
+            now_ms() - row.started_ms
+            for row in self.executions
+            if row.outcome == 'running' and not row.ended_ms
+        )
+        return AdminAnswer(
+            {
+                'upstream': self.name,
+                'service': self.service,
+                'incarnation': str(self.incarnation),
+                'flows_open': len(self.flows),
+                'running': len(self._running),
+                'links': [link.instance for link in self.links],
+                'busy_ms': self.busy_ms + running_ms,
+                'double_runs': self.counts['double_runs'],
+                'misrouted': self.counts['misrouted_requests']
+                + self.counts['misrouted_hellos'],
+                'last_new_flow_after_drain_ms': self._last_new_flow_after_drain_ms,
+                'counts': dict(self.counts),
+            }
+        )
+
+    def list_executions(self, _request: AdminRequest) -> AdminAnswer:
+        """Return every execution."""
+        names = Execution.__slots__
+        rows = [{name: getattr(row, name) for name in names} for row in self.executions]
+        return AdminAnswer(rows)
+
+    def list_flows(self, _request: AdminRequest) -> AdminAnswer:
+        """Return the open flows."""
+        rows = [
+            {
+                'flow': flow_id.hex(),
+                'customer': flow.record.customer,
+                'generation': flow.record.generation,
+                'instance': flow.link.instance,
+            }
+            for flow_id, flow in self.flows.items()
+        ]
+        return AdminAnswer(rows)
+
+    def set_behaviour(self, request: AdminRequest) -> AdminAnswer:
+        """Change options by name; all names are checked before any is set."""
+        values = {}
+        for name, text in request.query.items():
+            values[name] = type(getattr(Behaviour(), name, ''))(text)
+            if isinstance(values[name], str):
+                raise ValueError(f'unknown option {name}')
+        for name, value in values.items():
+            setattr(self.behaviour, name, value)
+        if 'cold_ms' in values:
+            self._cold_since_ms = now_ms()
+        if 'drain' in values:
+            self._drain()
+        return AdminAnswer(values)
+
+    def _drain(self) -> None:
+        is_draining = bool(self.behaviour.drain)
+        self._drained_ms = now_ms() if is_draining else None
+        for link in self.links:
+            link.send(UpstreamFrame(drain=Drain(is_draining=is_draining)))
+
+    async def serve_stream(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the line ``name`` with service and upstream, then echo."""
+        self.counts['streams'] += 1
+        with contextlib.suppress(OSError, ValueError):
+            line = await reader.readline()
+            if line == b'name\n':
+                line = f'{self.service} {self.name}\n'.encode()
+            writer.write(line)
+            while part := await reader.read(LARGEST_FRAME_BYTES):
+                writer.write(part)
+                await writer.drain()
+            await writer.drain()
+            self.counts['streams_finished'] += 1
+        writer.close()
+
+
+def now_ms() -> float:
+    """Return monotonic milliseconds."""
+    return time.monotonic() * 1000
+
+
+async def serve(options: argparse.Namespace) -> None:
+    """Serve until cancelled."""
+    behaviour = Behaviour(
+        slots=options.slots,
+        cold_ms=options.cold_ms,
+        push_interval_ms=options.push_interval_ms,
+        flow_idle_ms=options.flow_idle_ms,
+    )
+    upstream = Upstream(options.name, options.service, behaviour, options.seed)
+    if options.execution_log:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        upstream.log_fd = os.open(options.execution_log, flags, 0o644)
+    await asyncio.start_server(
+        upstream.serve_link, *parse_endpoint(options.listen).as_pair()
+    )
+    if options.stream_listen:
+        address = parse_endpoint(options.stream_listen).as_pair()
+        await asyncio.start_server(upstream.serve_stream, *address)
+    handlers = {
+        ('GET', '/stats'): upstream.stats,
+        ('GET', '/executions'): upstream.list_executions,
+        ('GET', '/flows'): upstream.list_flows,
+        ('POST', '/set'): upstream.set_behaviour,
+    }
+    await serve_admin(parse_endpoint(options.admin).as_pair(), handlers)
+    await upstream.run_timers()
+
+
+def main() -> None:
+    """Read the command line and serve."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--name', required=True)
+    parser.add_argument('--service', required=True)
+    parser.add_argument('--listen', required=True, help='HOST:PORT of the link')
+    parser.add_argument('--stream-listen', help='HOST:PORT of plain TCP')
+    parser.add_argument('--slots', type=int, required=True)
+    parser.add_argument('--admin', required=True, help='HOST:PORT')
+    parser.add_argument('--cold-ms', type=float, default=0)
+    parser.add_argument('--push-interval-ms', type=float, default=0)
+    parser.add_argument('--flow-idle-ms', type=float, default=30_000)
+    parser.add_argument('--seed', type=int, default=0)
+    parser.add_argument('--execution-log', help='file that gets a line per run')
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(serve(parser.parse_args()))
+
+
+if __name__ == '__main__':
+    main()
