--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers; not part of the product package."""
--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,130 @@
+"""Start, signal and end processes by their process id."""
+
+import asyncio
+import ctypes
+import os
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+PR_SET_PDEATHSIG = 1
+END_TIMEOUT_S = 3
+# Below the range from which the kernel takes ports of outgoing connections.
+FIRST_PORT = 20_000
+PORT_COUNT = 12_000
+LOOPBACK = '127.0.0.1'
+
+_libc = ctypes.CDLL(None)
+
+
+class Ports:
+    """Hand out ports on which nobody listens."""
+
+    def __init__(self) -> None:
+        """Begin at a place that depends on the process."""
+        self._next = os.getpid() * 61 % PORT_COUNT
+
+    def take(self) -> int:
+        """
+        Return a port that is free for TCP and UDP.
+
+        Raises
+        ------
+        LookupError
+            If none is free.
+        """
+        for _ in range(PORT_COUNT):
+            port = FIRST_PORT + self._next
+            self._next = (self._next + 1) % PORT_COUNT
+            if _is_free(port):
+                return port
+        raise LookupError('no free port')
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            if kind == socket.SOCK_STREAM:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                return False
+    return True
+
+
+def _die_with_parent() -> None:
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+@dataclass(slots=True)
+class Processes:
+    """Child processes by name, each with a log file."""
+
+    folder: Path
+    running: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    exit_codes: dict[str, int] = field(default_factory=dict)
+
+    def start(self, name: str, module: str, *arguments: str) -> None:
+        """Start ``python -m MODULE``; the log is appended to NAME.log."""
+        environment = {
+            **os.environ,
+            'PYTHONPATH': f'{ROOT / "src"}:{ROOT}',
+            'PYTHONUNBUFFERED': '1',
+        }
+        with (self.folder / f'{name}.log').open('ab') as log:
+            self.running[name] = subprocess.Popen(
+                [sys.executable, '-m', module, *arguments],
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                preexec_fn=_die_with_parent,
+            )
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.running[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process and wait until it is gone."""
+        process = self.running.pop(name)
+        process.kill()
+        self.exit_codes[name] = process.wait()
+
+    async def wait(self, name: str, timeout_s: float) -> int | None:
+        """Wait for the end of a process; return None after the timeout."""
+        process = self.running[name]
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
+        while process.poll() is None:
+            if loop.time() > end_s:
+                return None
+            await asyncio.sleep(0.02)
+        del self.running[name]
+        self.exit_codes[name] = process.returncode
+        return process.returncode
+
+    def log_of(self, name: str) -> str:
+        """Return what a process has written."""
+        path = self.folder / f'{name}.log'
+        return path.read_text(errors='replace') if path.exists() else ''
+
+    def end_all(self) -> None:
+        """End every process that still runs."""
+        for process in self.running.values():
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        for name, process in tuple(self.running.items()):
+            try:
+                process.wait(END_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+            self.exit_codes.setdefault(name, process.returncode)
+        self.running.clear()
