--- /dev/null
+++ b/src/cardamomtiller/flowtable.py
@@ -0,0 +1,77 @@
+"""Soft state of the flows of one upstream."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from cardamomtiller.admission import Permit
+from cardamomtiller.identity import CustomerId, Endpoint, FlowId
+from cardamomtiller.wire_pb2 import Address, FlowRecord
+
+
+@dataclass(slots=True)
+class ServedFlow:
+    """
+    What an instance knows of a flow.
+
+    ``is_home`` is set once the upstream has granted ``generation`` to this
+    instance; an entry that only came with the upstream's list is not served.
+    """
+
+    flow: FlowId
+    customer: CustomerId
+    caller: Endpoint
+    sequence: int
+    generation: int
+    seen_ms: float
+    pong_ms: float
+    is_home: bool = False
+    pending_generation: int = 0
+    permit: Permit | None = None
+    forwarder: str = ''
+
+    def record(self, generation: int) -> FlowRecord:
+        """Return the form that the upstream keeps."""
+        return FlowRecord(
+            flow_id=self.flow,
+            customer=self.customer,
+            generation=generation,
+            caller=Address(host=self.caller.host, port=self.caller.port),
+            sequence=self.sequence,
+        )
+
+
+@dataclass(slots=True)
+class FlowTable:
+    """Flows by id."""
+
+    rows: dict[FlowId, ServedFlow] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        """Return how many flows are known."""
+        return len(self.rows)
+
+    def add_listed(self, record: FlowRecord, now_ms: float) -> ServedFlow:
+        """Take a flow from the upstream's list, unless a newer one is known."""
+        flow = FlowId(record.flow_id)
+        held = self.rows.get(flow)
+        if held and held.generation >= record.generation:
+            return held
+        row = ServedFlow(
+            flow=flow,
+            customer=CustomerId(record.customer),
+            caller=Endpoint(record.caller.host, record.caller.port),
+            sequence=record.sequence,
+            generation=record.generation,
+            seen_ms=now_ms,
+            pong_ms=now_ms,
+        )
+        if held:
+            row.permit = held.permit
+        self.rows[flow] = row
+        return row
+
+    def idle_since(self, limit_ms: float) -> Iterator[ServedFlow]:
+        """Iterate over the flows without a packet since ``limit_ms``."""
+        for row in tuple(self.rows.values()):
+            if row.seen_ms < limit_ms:
+                yield row
--- /dev/null
+++ b/src/cardamomtiller/record.py
@@ -0,0 +1,158 @@
+"""Duplicate record of the requests of a home."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+from cardamomtiller.identity import FlowId, RequestId, RequestKey
+
+
+class Verdict(Enum):
+    """What the record knows of a request."""
+
+    NEW = 'new'
+    RUNNING = 'running'
+    ANSWERED = 'answered'
+    FENCED = 'fenced'
+    FINISHED = 'finished'
+
+
+@dataclass(slots=True)
+class _Entry:
+    verdict: Verdict
+    generation: int
+    used_ms: float
+
+
+class DuplicateRecord:
+    """
+    Remember requests for as long as a duplicate of them could be started.
+
+    An entry is dropped ``retention_ms`` after its last use, or when the caller
+    says that the request is finished; then the flow's watermark stands for it.
+    Memory is bounded by the rate of requests times ``retention_ms``.
+
+    A fence holds for the generation of the flow under which it was made: a
+    request that was moved may come back under a later generation.
+    """
+
+    def __init__(self, retention_ms: float) -> None:
+        """Start empty."""
+        self._retention_ms = retention_ms
+        self._entries: OrderedDict[RequestKey, _Entry] = OrderedDict()
+        self._by_flow: dict[FlowId, set[RequestKey]] = {}
+        self._watermarks: OrderedDict[FlowId, tuple[RequestId, float]] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return how many requests are remembered."""
+        return len(self._entries)
+
+    def look_up(self, request: RequestKey, generation: int) -> Verdict:
+        """Return what is known of a request without changing anything."""
+        watermark = self._watermarks.get(request.flow)
+        if watermark and request.request < watermark[0]:
+            return Verdict.FINISHED
+        entry = self._entries.get(request)
+        if entry is None:
+            return Verdict.NEW
+        if entry.verdict is Verdict.FENCED and generation > entry.generation:
+            return Verdict.NEW
+        return entry.verdict
+
+    def begin(self, request: RequestKey, generation: int, now_ms: float) -> Verdict:
+        """
+        Return what was known of a request, and remember a new one as running.
+
+        The caller may start the request only when the result is ``NEW``.
+        """
+        verdict = self.look_up(request, generation)
+        if verdict is Verdict.NEW:
+            self._put(request, Verdict.RUNNING, generation, now_ms)
+        elif verdict is not Verdict.FINISHED:
+            self._entries[request].used_ms = now_ms
+            self._entries.move_to_end(request)
+        return verdict
+
+    def answer(self, request: RequestKey, generation: int, now_ms: float) -> None:
+        """Remember that a request was answered."""
+        if self.look_up(request, generation) is not Verdict.FINISHED:
+            self._put(request, Verdict.ANSWERED, generation, now_ms)
+
+    def fence(self, request: RequestKey, generation: int, now_ms: float) -> bool:
+        """
+        Keep a request from being started here under a generation.
+
+        Returns
+        -------
+        bool
+            Whether the request had not been started or answered before.
+        """
+        verdict = self.look_up(request, generation)
+        if verdict not in {Verdict.NEW, Verdict.FENCED}:
+            return False
+        self._put(request, Verdict.FENCED, generation, now_ms)
+        return True
+
+    def fence_queued(
+        self,
+        request: RequestKey,
+        generation: int,
+        now_ms: float,
+    ) -> None:
+        """Fence a request that was begun but never sent to the upstream."""
+        if self.look_up(request, generation) is not Verdict.FINISHED:
+            self._put(request, Verdict.FENCED, generation, now_ms)
+
+    def finish_below(self, flow: FlowId, first_open: RequestId, now_ms: float) -> None:
+        """Forget requests of a flow that the caller says are finished."""
+        if first_open <= 0:
+            return
+        held = self._watermarks.get(flow, (RequestId(0), now_ms))[0]
+        self._watermarks[flow] = (max(held, first_open), now_ms)
+        self._watermarks.move_to_end(flow)
+        if first_open <= held:
+            return
+        for request in tuple(self._by_flow.get(flow, ())):
+            if request.request < first_open:
+                self._drop(request)
+
+    def expire(self, now_ms: float) -> int:
+        """Drop what has outlived the retention; return how many requests."""
+        limit_ms = now_ms - self._retention_ms
+        expired = tuple(self._older_than(limit_ms))
+        for request in expired:
+            self._drop(request)
+        while self._watermarks:
+            flow, (_, used_ms) = next(iter(self._watermarks.items()))
+            if used_ms >= limit_ms:
+                break
+            self._watermarks.pop(flow)
+        return len(expired)
+
+    def _older_than(self, limit_ms: float) -> Iterator[RequestKey]:
+        for request, entry in self._entries.items():
+            if entry.used_ms >= limit_ms:
+                return
+            yield request
+
+    def _put(
+        self,
+        request: RequestKey,
+        verdict: Verdict,
+        generation: int,
+        now_ms: float,
+    ) -> None:
+        held = self._entries.get(request)
+        highest = max(generation, held.generation) if held else generation
+        self._entries[request] = _Entry(verdict, highest, now_ms)
+        self._entries.move_to_end(request)
+        self._by_flow.setdefault(request.flow, set()).add(request)
+
+    def _drop(self, request: RequestKey) -> None:
+        self._entries.pop(request, None)
+        requests = self._by_flow.get(request.flow)
+        if requests:
+            requests.discard(request)
+            if not requests:
+                self._by_flow.pop(request.flow)
--- /dev/null
+++ b/src/cardamomtiller/request.py
@@ -0,0 +1,120 @@
+"""State of one request at its home."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from cardamomtiller import codec
+from cardamomtiller.admission import Permit
+from cardamomtiller.codec import ChunkSender, Reassembly
+from cardamomtiller.identity import CustomerId, RequestKey, ServiceClass
+from cardamomtiller.wire_pb2 import (
+    Answer,
+    AnswerStatus,
+    Reason,
+    Request,
+    RunAnswer,
+)
+
+LARGEST_ANSWER_CHUNKS = 4096
+
+
+class RequestState(Enum):
+    """Progress of a request."""
+
+    RECEIVING = 'receiving'
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    ANSWERED = 'answered'
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """How a request ended."""
+
+    status: AnswerStatus.ValueType
+    reason: Reason.ValueType = Reason.REASON_UNSPECIFIED
+    retry_after_ms: float = 0
+    body: bytes = b''
+
+
+@dataclass(slots=True)
+class ServedRequest:
+    """A request from its first chunk until its answer is acknowledged."""
+
+    key: RequestKey
+    generation: int
+    customer: CustomerId
+    service_class: ServiceClass
+    is_idempotent: bool
+    begun_ms: float
+    deadline_ms: float
+    total_bytes: int
+    body: Reassembly
+    permit: Permit | None = None
+    state: RequestState = RequestState.RECEIVING
+    result: Reassembly | None = None
+    ending: Ending | None = None
+    sender: ChunkSender | None = None
+    resends: int = 0
+    # Set when a run was lost with the link: it may have been executed.
+    is_run_lost: bool = False
+    forget_ms: float = 0
+
+    @classmethod
+    def begin(
+        cls,
+        key: RequestKey,
+        generation: int,
+        customer: CustomerId,
+        message: Request,
+        now_ms: float,
+    ) -> 'ServedRequest':
+        """Make the state of a request from any of its chunks."""
+        return cls(
+            key=key,
+            generation=generation,
+            customer=customer,
+            service_class=ServiceClass(message.service_class),
+            is_idempotent=message.is_idempotent,
+            begun_ms=now_ms,
+            deadline_ms=now_ms + message.timeout_ms,
+            total_bytes=message.total_bytes,
+            body=Reassembly(message.chunk_count),
+        )
+
+    def add_result(self, message: RunAnswer) -> bool:
+        """Add a chunk of the upstream's answer; return whether it is whole."""
+        if self.result is None:
+            self.result = Reassembly(message.chunk_count)
+        self.result.add(message.chunk_index, message.payload)
+        return self.result.is_complete
+
+    def end(self, ending: Ending, forget_ms: float) -> None:
+        """Keep the answer until it is acknowledged."""
+        self.state = RequestState.ANSWERED
+        self.ending = ending
+        self.sender = ChunkSender(codec.split_chunks(ending.body))
+        self.forget_ms = forget_ms
+        self.result = None
+        self.body = Reassembly(self.body.chunk_count, next_index=self.body.chunk_count)
+
+    def answer_chunk(self, index: int) -> Answer:
+        """
+        Return one chunk of the answer.
+
+        Raises
+        ------
+        LookupError
+            If the request has not ended.
+        """
+        if self.ending is None or self.sender is None:
+            raise LookupError(f'request {self.key.request} has no answer')
+        return Answer(
+            request_id=self.key.request,
+            status=self.ending.status,
+            reason=self.ending.reason,
+            retry_after_ms=int(self.ending.retry_after_ms),
+            chunk_index=index,
+            chunk_count=len(self.sender.chunks),
+            payload=self.sender.chunks[index],
+        )
