--- a/src/cardamomtiller/identity.py
+++ b/src/cardamomtiller/identity.py
@@ -38,6 +38,15 @@
     BULK = 2
 
 
+class Outcome(Enum):
+    """How work that was sent to an upstream ended."""
+
+    DONE = 'done'
+    FAILED = 'failed'
+    SHED = 'shed'
+    CANCELLED = 'cancelled'
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class Endpoint:
     """IP address and port."""
--- /dev/null
+++ b/src/cardamomtiller/retry.py
@@ -0,0 +1,81 @@
+"""Retry budget and jittered backoff."""
+
+from random import Random
+
+from cardamomtiller.identity import MS_PER_S
+
+# Retries that a quiet customer may make at once, in seconds of the minimum rate.
+BURST_S = 5
+LARGEST_SAVED_RETRIES = 100
+SMALLEST_BACKOFF_MS = 50
+LARGEST_BACKOFF_MS = 5000
+LARGEST_EXPONENT = 16
+
+
+class RetryBudget:
+    """
+    Bound retries to a share of requests plus a small minimum rate.
+
+    Without a bound, retries multiply the load of an upstream that is already
+    failing.
+    """
+
+    def __init__(self, ratio: float, minimum_per_s: float, now_ms: float) -> None:
+        """
+        Start with the burst of the minimum rate.
+
+        Parameters
+        ----------
+        ratio
+            Retries per request in the long run.
+        minimum_per_s
+            Retries per second that are allowed without any request.
+        now_ms
+            Monotonic time.
+        """
+        self._ratio = ratio
+        self._minimum_per_s = minimum_per_s
+        self._minimum = minimum_per_s * BURST_S
+        self._saved: float = 0
+        self._updated_ms = now_ms
+
+    def deposit(self, now_ms: float) -> None:
+        """Count one request that is not a retry."""
+        self._refill(now_ms)
+        self._saved = min(self._saved + self._ratio, LARGEST_SAVED_RETRIES)
+
+    def withdraw(self, now_ms: float) -> bool:
+        """Take one retry; False if the budget is used up."""
+        self._refill(now_ms)
+        if self._saved >= 1:
+            self._saved -= 1
+        elif self._minimum >= 1:
+            self._minimum -= 1
+        else:
+            return False
+        return True
+
+    def _refill(self, now_ms: float) -> None:
+        passed_s = max(0, now_ms - self._updated_ms) / MS_PER_S
+        self._updated_ms = max(now_ms, self._updated_ms)
+        limit = max(1, self._minimum_per_s * BURST_S)
+        earned = self._minimum_per_s * passed_s
+        self._minimum = min(limit, self._minimum + earned)
+
+
+def backoff_ms(attempt: int, random: Random, retry_after_ms: float = 0) -> float:
+    """
+    Return the delay before a retry.
+
+    Parameters
+    ----------
+    attempt
+        0 for the first retry.
+    random
+        Source of the jitter, so that callers do not retry in step.
+    retry_after_ms
+        Delay that the refusal asked for; the backoff is added to it.
+    """
+    doubled = SMALLEST_BACKOFF_MS * 2 ** min(attempt, LARGEST_EXPONENT)
+    longest_ms = min(doubled, LARGEST_BACKOFF_MS)
+    return retry_after_ms + random.uniform(longest_ms / 2, longest_ms)
