--- /dev/null
+++ b/tools/deployment.py
@@ -0,0 +1,596 @@
+"""A deployment of real processes on loopback, with stand-ins around it."""
+
+import asyncio
+import hashlib
+import json
+import signal
+from collections.abc import Coroutine, Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from urllib.parse import urlencode
+
+from cardamomtiller.identity import Endpoint
+from tools.plan import DomainPlan, ScenarioPlan, ServicePlan
+from tools.processes import LOOPBACK, Ports, Processes
+from tools.standins.admin import call_admin
+
+UPSTREAM_MODULE = 'tools.standins.upstream'
+FABRIC_MODULE = 'tools.standins.fabric'
+FAULTS_MODULE = 'tools.standins.faults'
+PLATFORM_MODULE = 'tools.standins.platform_minimal'
+INSTANCE_MODULE = 'cardamomtiller'
+PROXIED = 'proxied'
+READY_TIMEOUT_S = 15
+STOP_TIMEOUT_S = 40
+# Time that a new instance gets to learn documents and peers before it is
+# published as live.
+JOIN_S = 1.0
+# Time between the publication of `leaving` and the signal to stop.
+LEAVE_S = 1.0
+
+# Short times keep a whole scenario within a minute. They replace the defaults
+# of the settings; a scenario file can replace them in turn.
+SCENARIO_SETTINGS: Mapping[str, Mapping[str, str]] = {
+    'source': {'watch_wait_ms': '5000', 'poll_interval_ms': '5000'},
+    'log': {'level': 'INFO'},
+}
+
+
+@dataclass(slots=True)
+class Upstream:
+    """Addresses and published state of one upstream."""
+
+    name: str
+    service: ServicePlan
+    domain: str
+    address: Endpoint
+    published: Endpoint
+    stream: Endpoint
+    admin: Endpoint
+    state: str = 'live'
+
+
+@dataclass(slots=True)
+class Instance:
+    """Addresses and published state of one instance."""
+
+    name: str
+    domain: DomainPlan
+    peer: Endpoint
+    published: Endpoint
+    status: Endpoint
+    datagram: Mapping[str, Endpoint]
+    stream: Mapping[str, Endpoint]
+    state: str = 'live'
+    is_sprayed: bool = True
+
+
+@dataclass
+class Deployment:
+    """Processes, published documents and the operations on them."""
+
+    plan: ScenarioPlan
+    folder: Path
+    processes: Processes
+    ports: Ports = field(default_factory=Ports)
+    upstreams: dict[str, Upstream] = field(default_factory=dict)
+    instances: dict[str, Instance] = field(default_factory=dict)
+    services: dict[str, Endpoint] = field(default_factory=dict)
+    streams: dict[str, Endpoint] = field(default_factory=dict)
+    plans: dict[str, dict[str, str]] = field(default_factory=dict)
+    numbers: dict[str, int] = field(default_factory=dict)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        """Choose the addresses."""
+        self.platform = self._endpoint()
+        self.platform_admin = self._endpoint()
+        self.fabric_admin = self._endpoint()
+        self.faults_admin = self._endpoint()
+        self.cluster_key = self.secret('cluster')
+        self.plans = {name: dict(row) for name, row in self.plan.plans.items()}
+        for service in self.plan.services:
+            self.services[service.name] = self._endpoint()
+            self.streams[service.name] = self._endpoint()
+        for domain in self.plan.domains:
+            for service in self.plan.services:
+                for _ in range(domain.upstreams.get(service.name, 0)):
+                    self._add_upstream(domain, service)
+            for _ in range(domain.instances):
+                self._add_instance(domain, 'live')
+
+    @property
+    def execution_log(self) -> Path:
+        """Return the file that gets a line for each run on any upstream."""
+        return self.folder / 'executions.jsonl'
+
+    def secret(self, name: str) -> str:
+        """Return a key in hex digits that depends on the seed."""
+        text = f'{self.plan.seed} {name}'
+        return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
+
+    def _endpoint(self) -> Endpoint:
+        return Endpoint(LOOPBACK, self.ports.take())
+
+    def _is_proxied(self) -> bool:
+        return self.plan.network == PROXIED
+
+    def _published(self, address: Endpoint) -> Endpoint:
+        return self._endpoint() if self._is_proxied() else address
+
+    def _add_upstream(self, domain: DomainPlan, service: ServicePlan) -> None:
+        number = self.numbers.get(service.name, 0) + 1
+        self.numbers[service.name] = number
+        name = f'{service.name}-u{number}'
+        address = self._endpoint()
+        self.upstreams[name] = Upstream(
+            name=name,
+            service=service,
+            domain=domain.name,
+            address=address,
+            published=self._published(address),
+            stream=self._endpoint(),
+            admin=self._endpoint(),
+        )
+
+    def _add_instance(self, domain: DomainPlan, state: str) -> Instance:
+        number = self.numbers.get(domain.name, 0) + 1
+        self.numbers[domain.name] = number
+        peer = self._endpoint()
+        instance = Instance(
+            name=f'{domain.name}-i{number}',
+            domain=domain,
+            peer=peer,
+            published=self._published(peer),
+            status=self._endpoint(),
+            datagram={name: self._endpoint() for name in self.services},
+            stream={name: self._endpoint() for name in self.services},
+            state=state,
+            is_sprayed=state == 'live',
+        )
+        self.instances[instance.name] = instance
+        return instance
+
+    # Documents
+
+    def documents(self) -> Iterator[tuple[str, str]]:
+        """Iterate over all documents."""
+        yield 'plans', _ini((f'plan {name}', row) for name, row in self.plans.items())
+        yield (
+            'customers',
+            _ini(
+                (f'customer {name}', {'plan': plan, 'secret': self.secret(name)})
+                for name, plan in self.plan.customers.items()
+            ),
+        )
+        key = {'secret': self.secret('sealing key'), 'state': 'current'}
+        yield 'keys', _ini([('key 1', key)])
+        first_customer = next(iter(self.plan.customers))
+        yield (
+            'services',
+            _ini(
+                (
+                    f'service {name}',
+                    {
+                        'datagram_addresses': str(address),
+                        'stream_addresses': str(self.streams[name]),
+                        'stream_customer': first_customer,
+                    },
+                )
+                for name, address in self.services.items()
+            ),
+        )
+        for domain in self.plan.domains:
+            yield f'upstreams.{domain.name}', self.upstreams_document(domain)
+            yield f'instances.{domain.name}', self.instances_document(domain)
+
+    def upstreams_document(self, domain: DomainPlan) -> str:
+        """Return the published upstreams of a failure domain."""
+        return _ini(
+            [
+                ('domain', {'region': domain.region}),
+                *(
+                    (
+                        f'upstream {row.name}',
+                        {
+                            'service': row.service.name,
+                            'address': str(row.published),
+                            'stream_address': str(row.stream),
+                            'slots': str(row.service.slots),
+                            'state': row.state,
+                        },
+                    )
+                    for row in self.upstreams.values()
+                    if row.domain == domain.name
+                ),
+            ]
+        )
+
+    def instances_document(self, domain: DomainPlan) -> str:
+        """Return the published instances of a failure domain."""
+        return _ini(
+            [
+                ('domain', {'region': domain.region}),
+                *(
+                    (
+                        f'instance {row.name}',
+                        {'peer_address': str(row.published), 'state': row.state},
+                    )
+                    for row in self.instances.values()
+                    if row.domain.name == domain.name
+                ),
+            ]
+        )
+
+    def settings_of(self, instance: Instance) -> str:
+        """Return the settings file of an instance."""
+        seeds = [
+            str(row.published)
+            for row in self.instances.values()
+            if row.name != instance.name
+        ][:3]
+        sections: dict[str, dict[str, str]] = {
+            'instance': {
+                'name': instance.name,
+                'region': instance.domain.region,
+                'failure_domain': instance.domain.name,
+                'peer_address': str(instance.peer),
+                'status_address': str(instance.status),
+                'cluster_key': self.cluster_key,
+            },
+            'source': {
+                'url': f'http://{self.platform}',
+                'seed_peers': ','.join(seeds),
+            },
+            'entrance': {
+                'datagram_addresses': _named(instance.datagram),
+                'stream_addresses': _named(instance.stream),
+            },
+        }
+        for changes in (SCENARIO_SETTINGS, self.plan.settings):
+            for section, values in changes.items():
+                sections.setdefault(section, {}).update(values)
+        return _ini(sections.items())
+
+    # Start
+
+    async def start(self) -> None:
+        """Start everything and wait until it answers."""
+        self._start_platform()
+        self._start_fabric()
+        if self._is_proxied():
+            self.processes.start(
+                'faults',
+                FAULTS_MODULE,
+                f'--admin={self.faults_admin}',
+                f'--seed={self.plan.seed}',
+            )
+        for upstream in self.upstreams.values():
+            self.start_upstream(upstream)
+        await self._wait_for_standins()
+        for name, text in self.documents():
+            await self.publish(name, text)
+        if self._is_proxied():
+            await self._configure_proxies()
+        for instance in self.instances.values():
+            await self.start_instance(instance)
+        await self._label_instances()
+        await self.set_latencies()
+        await self.update_fabric()
+
+    def _start_platform(self) -> None:
+        self.processes.start(
+            'platform',
+            PLATFORM_MODULE,
+            f'--listen={self.platform}',
+            f'--admin={self.platform_admin}',
+        )
+
+    def _start_fabric(self) -> None:
+        arguments = [f'--admin={self.fabric_admin}', f'--seed={self.plan.seed}']
+        for name, address in self.services.items():
+            arguments.append(f'--service={name}={address}')
+            arguments.append(f'--stream={name}={self.streams[name]}')
+        self.processes.start('fabric', FABRIC_MODULE, *arguments)
+
+    def start_upstream(self, upstream: Upstream) -> None:
+        """Start the process of an upstream."""
+        service = upstream.service
+        self.processes.start(
+            upstream.name,
+            UPSTREAM_MODULE,
+            f'--name={upstream.name}',
+            f'--service={service.name}',
+            f'--listen={upstream.address}',
+            f'--stream-listen={upstream.stream}',
+            f'--slots={service.slots}',
+            f'--admin={upstream.admin}',
+            f'--push-interval-ms={service.push_interval_ms}',
+            f'--cold-ms={service.cold_ms}',
+            f'--seed={self.plan.seed}',
+            f'--execution-log={self.execution_log}',
+        )
+
+    async def start_instance(self, instance: Instance) -> None:
+        """Write the settings file of an instance and start its process."""
+        path = self.folder / f'{instance.name}.ini'
+        path.write_text(self.settings_of(instance))
+        self.processes.start(
+            instance.name, INSTANCE_MODULE, 'run', '--settings', str(path)
+        )
+        if self._is_proxied():
+            pid = self.processes.running[instance.name].pid
+            label = label_of(instance)
+            await self._configure_faults({'processes': {str(pid): label}})
+
+    async def _wait_for_standins(self) -> None:
+        admins = [self.platform_admin, self.fabric_admin]
+        admins += [row.admin for row in self.upstreams.values()]
+        if self._is_proxied():
+            admins.append(self.faults_admin)
+        for admin in admins:
+            await wait_for_listener(admin, READY_TIMEOUT_S)
+
+    async def wait_ready(self, names: list[str] | None = None) -> None:
+        """Wait until the status endpoints of instances answer."""
+        for name in names or list(self.instances):
+            await wait_for_listener(self.instances[name].status, READY_TIMEOUT_S)
+
+    async def _configure_proxies(self) -> None:
+        rows = [
+            _proxy(label_of_upstream(row), row.published, row.address, ['tcp'])
+            for row in self.upstreams.values()
+        ]
+        rows += [self._instance_proxy(row) for row in self.instances.values()]
+        await self._configure_faults({'proxies': rows})
+
+    def _instance_proxy(self, instance: Instance) -> dict[str, object]:
+        return _proxy(
+            label_of(instance), instance.published, instance.peer, ['udp', 'tcp']
+        )
+
+    async def _configure_faults(self, wanted: object) -> None:
+        body = json.dumps(wanted).encode()
+        await call_admin(self.faults_admin, 'POST', '/configure', body)
+
+    async def _label_instances(self) -> None:
+        for instance in self.instances.values():
+            await self._label_instance(instance)
+
+    async def _label_instance(self, instance: Instance) -> None:
+        for address in (*instance.datagram.values(), *instance.stream.values()):
+            query = urlencode({'address': str(address), 'label': label_of(instance)})
+            await call_admin(self.fabric_admin, 'POST', f'/label?{query}')
+
+    async def set_latencies(self) -> None:
+        """Set the normal latency of all paths."""
+        if self.plan.to_callers_ms:
+            await self.set_rule('fabric', 'latency', delay_ms=self.plan.to_callers_ms)
+        if not self._is_proxied() or not self.plan.between_domains_ms:
+            return
+        for source in self.plan.domains:
+            for target in self.plan.domains:
+                if source.name != target.name:
+                    await self.set_rule(
+                        'faults',
+                        f'latency {source.name} {target.name}',
+                        source=f'{source.name}/*',
+                        target=f'{target.name}/*',
+                        delay_ms=self.plan.between_domains_ms,
+                    )
+
+    # Operations
+
+    async def publish(self, name: str, text: str) -> int:
+        """Publish the next version of a document; return the version."""
+        path = f'/publish?name={name}'
+        answer = await call_admin(self.platform_admin, 'POST', path, text.encode())
+        return int(answer['version']) if isinstance(answer, dict) else 0
+
+    async def set_platform(self, *, is_down: bool) -> None:
+        """Begin or end an outage of the configuration service."""
+        await call_admin(self.platform_admin, 'POST', f'/set?is_down={int(is_down)}')
+
+    async def publish_domain(self, name: str) -> None:
+        """Publish the instances and upstreams of a failure domain again."""
+        domain = next(row for row in self.plan.domains if row.name == name)
+        await self.publish(f'instances.{name}', self.instances_document(domain))
+        await self.publish(f'upstreams.{name}', self.upstreams_document(domain))
+
+    async def publish_instances(self, domain: DomainPlan) -> None:
+        """Publish the instances of a failure domain again."""
+        await self.publish(f'instances.{domain.name}', self.instances_document(domain))
+
+    async def update_fabric(self) -> None:
+        """Give the fabric the present list of instances."""
+        rows = [row for row in self.instances.values() if row.is_sprayed]
+        for service in self.services:
+            datagram = ','.join(str(row.datagram[service]) for row in rows) or '-'
+            stream = ','.join(str(row.stream[service]) for row in rows) or '-'
+            query = urlencode(
+                {'service': service, 'datagram': datagram, 'stream': stream}
+            )
+            await call_admin(self.fabric_admin, 'POST', f'/instances?{query}')
+
+    async def update_fabric_later(self) -> None:
+        """Update the fabric after its lag, as a platform does."""
+        await asyncio.sleep(self.plan.fabric_lag_ms / 1000)
+        await self.update_fabric()
+
+    def spawn(self, work: Coroutine[object, object, None]) -> asyncio.Task[None]:
+        """Run work beside the events and hold it until it ends."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        return task
+
+    async def set_rule(self, admin: str, name: str, **values: object) -> None:
+        """Set a rule of the fabric or of the faulty network."""
+        query = urlencode({'name': name, **values})
+        await call_admin(self._admin_of(admin), 'POST', f'/rule?{query}')
+
+    async def clear_rule(self, admin: str, name: str) -> None:
+        """Remove a rule."""
+        query = urlencode({'name': name})
+        await call_admin(self._admin_of(admin), 'POST', f'/clear?{query}')
+
+    def _admin_of(self, name: str) -> Endpoint:
+        return {'fabric': self.fabric_admin, 'faults': self.faults_admin}[name]
+
+    async def set_upstream(self, name: str, **values: object) -> None:
+        """Change the behaviour of an upstream."""
+        admin = self.upstreams[name].admin
+        await call_admin(admin, 'POST', f'/set?{urlencode(values)}')
+
+    async def kill_instance(self, name: str) -> None:
+        """Kill an instance; the fabric learns of it after its lag."""
+        self.processes.kill(name)
+        self.instances[name].is_sprayed = False
+        self.spawn(self.update_fabric_later())
+
+    async def join_instance(self, domain_name: str) -> str:
+        """Start one more instance in a failure domain; return its name."""
+        domain = next(row for row in self.plan.domains if row.name == domain_name)
+        instance = self._add_instance(domain, 'joining')
+        if self._is_proxied():
+            await self._configure_faults({'proxies': [self._instance_proxy(instance)]})
+        await self._label_instance(instance)
+        await self.publish_instances(domain)
+        await self.start_instance(instance)
+        await self.wait_ready([instance.name])
+        await asyncio.sleep(JOIN_S)
+        instance.state = 'live'
+        instance.is_sprayed = True
+        await self.publish_instances(domain)
+        await self.update_fabric()
+        return instance.name
+
+    async def stop_instance(self, name: str) -> int | None:
+        """Announce that an instance leaves, stop it, and remove it."""
+        instance = self.instances[name]
+        instance.state = 'leaving'
+        await self.publish_instances(instance.domain)
+        await asyncio.sleep(LEAVE_S)
+        instance.is_sprayed = False
+        self.processes.send_signal(name, signal.SIGTERM)
+        self.spawn(self.update_fabric_later())
+        code = await self.processes.wait(name, STOP_TIMEOUT_S)
+        if code is None:
+            self.processes.kill(name)
+        await self.remove_instance(name)
+        return code
+
+    async def remove_instance(self, name: str) -> None:
+        """Take an instance off the published list."""
+        instance = self.instances.pop(name)
+        await self.publish_instances(instance.domain)
+        await self.update_fabric()
+
+    async def replace_instance(self, name: str) -> str:
+        """Start a replacement, then stop the instance; return the new name."""
+        new = await self.join_instance(self.instances[name].domain.name)
+        await self.stop_instance(name)
+        return new
+
+    async def drain_upstream(self, name: str) -> None:
+        """Announce that an upstream leaves, in its link and in the list."""
+        await self.set_upstream(name, drain=1)
+        upstream = self.upstreams[name]
+        upstream.state = 'leaving'
+        await self.publish_domain(upstream.domain)
+
+    async def restart_upstream(self, name: str) -> None:
+        """Kill an upstream and start it again with a new incarnation."""
+        self.processes.kill(name)
+        self.start_upstream(self.upstreams[name])
+
+    async def partition(self, side: list[str], other: list[str]) -> None:
+        """Cut all paths between two groups of failure domains."""
+        for first in side:
+            for second in other:
+                for source, target in ((first, second), (second, first)):
+                    await self.set_rule(
+                        'faults',
+                        f'partition {source} {target}',
+                        source=f'{source}/*',
+                        target=f'{target}/*',
+                        cut=1,
+                    )
+
+    async def heal(self) -> None:
+        """Remove all faults; the normal latencies stay."""
+        await self.clear_rule('faults', '')
+        await self.clear_rule('fabric', '')
+        await self.set_latencies()
+
+    async def status_of(self, name: str, path: str = '/status') -> object:
+        """Return a status page of an instance, or None if it has none."""
+        try:
+            return await call_admin(self.instances[name].status, 'GET', path)
+        except (OSError, ValueError, TimeoutError):
+            return None
+
+    async def upstream_stats(self) -> dict[str, dict[str, object]]:
+        """Return the counters of every upstream that answers."""
+        found: dict[str, dict[str, object]] = {}
+        for name, upstream in self.upstreams.items():
+            try:
+                answer = await call_admin(upstream.admin, 'GET', '/stats')
+            except (OSError, TimeoutError):
+                continue
+            if isinstance(answer, dict):
+                found[name] = answer
+        return found
+
+
+def label_of(instance: Instance) -> str:
+    """Return the label of an instance in rules."""
+    return f'{instance.domain.name}/{instance.name}'
+
+
+def label_of_upstream(upstream: Upstream) -> str:
+    """Return the label of an upstream in rules."""
+    return f'{upstream.domain}/{upstream.name}'
+
+
+async def wait_for_listener(address: Endpoint, timeout_s: float) -> None:
+    """
+    Wait until a TCP port accepts connections.
+
+    Raises
+    ------
+    TimeoutError
+        If it does not in time.
+    """
+    async with asyncio.timeout(timeout_s):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(*address.as_pair())
+            except OSError:
+                await asyncio.sleep(0.05)
+            else:
+                writer.close()
+                return
+
+
+def _proxy(
+    label: str, listen: Endpoint, target: Endpoint, kinds: list[str]
+) -> dict[str, object]:
+    return {
+        'label': label,
+        'listen': str(listen),
+        'target': str(target),
+        'kinds': kinds,
+    }
+
+
+def _named(addresses: Mapping[str, Endpoint]) -> str:
+    return ', '.join(f'{name}={address}' for name, address in addresses.items())
+
+
+def _ini(sections: Iterable[tuple[str, Mapping[str, str]]]) -> str:
+    lines: list[str] = []
+    for title, values in sections:
+        lines.append(f'[{title}]')
+        lines += [f'{key} = {value}' for key, value in values.items()]
+        lines.append('')
+    return '\n'.join(lines)
--- /dev/null
+++ b/tools/scenario.py
@@ -0,0 +1,482 @@
+"""Run a scenario with real processes and print what the callers saw.
+
+python -m tools.scenario examples/demo.ini [--json FILE] [--set KEY=VALUE]
+"""
+
+import argparse
+import asyncio
+import json
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+from cardamomtiller.client import Status
+from tools.deployment import Deployment
+from tools.plan import Event, ScenarioPlan, load_plan
+from tools.processes import Processes
+from tools.standins.callers import (
+    Break,
+    Group,
+    Record,
+    latencies_by_class,
+    percentile,
+)
+
+SAMPLE_INTERVAL_S = 0.5
+IN_FORCE_POLL_S = 0.05
+IN_FORCE_TIMEOUT_S = 20
+FALL_TIME_S = 1.0
+CALLERS_END_S = 10
+SHARES = {'p50_ms': 0.5, 'p90_ms': 0.9, 'p99_ms': 0.99}
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a scenario gave; figures by their name."""
+
+    name: str
+    figures: dict[str, float] = field(default_factory=dict)
+    latencies: dict[str, dict[str, float]] = field(default_factory=dict)
+    marks: dict[str, float] = field(default_factory=dict)
+    refusals: dict[str, int] = field(default_factory=dict)
+    faults: list[str] = field(default_factory=list)
+    events: list[str] = field(default_factory=list)
+    log_errors: list[str] = field(default_factory=list)
+
+
+class Scenario:
+    """One run of a plan."""
+
+    def __init__(self, plan: ScenarioPlan, folder: Path) -> None:
+        """Prepare; nothing is started yet."""
+        self.plan = plan
+        self.processes = Processes(folder)
+        self.deployment = Deployment(plan, folder, self.processes)
+        self.record = Record()
+        self.groups: dict[str, Group] = {}
+        self.lost_upstreams: set[str] = set()
+        self.loads: list[tuple[float, dict[str, dict[str, object]]]] = []
+        self.events: list[str] = []
+        self.marks: dict[str, float] = {}
+        self.began_s = 0.0
+        self.background: list[asyncio.Task[None]] = []
+
+    async def run(self) -> Outcome:
+        """Run the whole scenario; every process is ended in any case."""
+        try:
+            await self.deployment.start()
+            await self.deployment.wait_ready()
+            callers = self._start_callers()
+            sampler = asyncio.create_task(self._sample())
+            await asyncio.sleep(self.plan.warm_up_s)
+            self.began_s = time.monotonic()
+            await self._perform_events()
+            rest_s = self.began_s + self.plan.duration_s - time.monotonic()
+            await asyncio.sleep(max(0, rest_s))
+            for task in self.background:
+                await task
+            await self._end_callers(callers)
+            sampler.cancel()
+            return await self._collect()
+        finally:
+            self.processes.end_all()
+
+    def _start_callers(self) -> list[asyncio.Task[None]]:
+        secrets = {
+            name: bytes.fromhex(self.deployment.secret(name))
+            for name in self.plan.customers
+        }
+        for load in self.plan.loads:
+            address = self.deployment.services[load.service]
+            self.groups[load.name] = Group(
+                load, address, secrets, self.record, self.plan.seed
+            )
+        return [asyncio.create_task(group.run()) for group in self.groups.values()]
+
+    async def _end_callers(self, callers: list[asyncio.Task[None]]) -> None:
+        for task in callers:
+            task.cancel()
+        await asyncio.wait(callers, timeout=CALLERS_END_S)
+        for task in callers:
+            if task.done() and not task.cancelled() and task.exception():
+                self.record.fault('caller_errors', repr(task.exception()))
+
+    async def _sample(self) -> None:
+        while True:
+            stats = await self.deployment.upstream_stats()
+            self.loads.append((time.monotonic(), stats))
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+    # Events
+
+    async def _perform_events(self) -> None:
+        for event in self.plan.events:
+            wait_s = self.began_s + event.at_s - time.monotonic()
+            await asyncio.sleep(max(0, wait_s))
+            work = asyncio.create_task(self._perform(event))
+            self.background.append(work)
+            await asyncio.sleep(0)
+
+    async def _perform(self, event: Event) -> None:
+        text = ' '.join((event.action, *event.words))
+        passed_s = time.monotonic() - self.began_s
+        self.events.append(f'{passed_s:.1f} s: {text}')
+        self.marks.setdefault(event.action, time.monotonic())
+        try:
+            await self._actions()[event.action](*event.words)
+        except (LookupError, OSError, ValueError, TimeoutError) as error:
+            self.record.fault('event_errors', f'{text}: {error!r}')
+
+    def _actions(self) -> Mapping[str, Callable[..., Awaitable[object]]]:
+        return {
+            'kill': self._kill,
+            'stop': self._stop,
+            'pause': self._pause,
+            'replace': self._replace,
+            'replace_all': self._replace_all,
+            'join': self.deployment.join_instance,
+            'drain': self._drain,
+            'restart': self._restart,
+            'upstream': self._set_upstream,
+            'publish': self._publish_plan,
+            'partition': self._partition,
+            'heal': self.deployment.heal,
+            'rule': self._rule,
+            'swing': self._swing,
+            'platform': self._set_platform,
+        }
+
+    async def _kill(self, name: str) -> None:
+        await self.deployment.kill_instance(self.resolve(name))
+
+    async def _stop(self, name: str) -> None:
+        name = self.resolve(name)
+        code = await self.deployment.stop_instance(name)
+        if code != 0:
+            self.record.fault('unclean_stops', f'{name}: exit code {code}')
+
+    async def _pause(self, name: str, pause_s: str) -> None:
+        """Pause an instance or an upstream; its sockets stay open."""
+        name = name if name in self.deployment.upstreams else self.resolve(name)
+        self.processes.send_signal(name, signal.SIGSTOP)
+        await asyncio.sleep(float(pause_s))
+        self.processes.send_signal(name, signal.SIGCONT)
+
+    async def _replace(self, name: str) -> None:
+        name = self.resolve(name)
+        await self.deployment.join_instance(self.deployment.instances[name].domain.name)
+        await self._stop(name)
+
+    async def _replace_all(self) -> None:
+        for name in tuple(self.deployment.instances):
+            await self._replace(name)
+
+    async def _drain(self, name: str) -> None:
+        await self.deployment.drain_upstream(name)
+
+    async def _restart(self, name: str) -> None:
+        self.lost_upstreams.add(name)
+        await self.deployment.restart_upstream(name)
+
+    async def _set_upstream(self, name: str, *pairs: str) -> None:
+        values = dict(pair.split('=', 1) for pair in pairs)
+        await self.deployment.set_upstream(name, **values)
+
+    async def _publish_plan(self, plan: str, *pairs: str) -> None:
+        """Change a plan and measure when every instance has the new version."""
+        self.deployment.plans[plan].update(pair.split('=', 1) for pair in pairs)
+        text = dict(self.deployment.documents())['plans']
+        begin_s = time.monotonic()
+        version = await self.deployment.publish('plans', text)
+        await self._wait_in_force('plans', version)
+        self.marks['config_in_force_s'] = time.monotonic() - begin_s
+
+    async def _wait_in_force(self, name: str, version: int) -> None:
+        end_s = time.monotonic() + IN_FORCE_TIMEOUT_S
+        waiting = set(self.deployment.instances)
+        while waiting and time.monotonic() < end_s:
+            for instance in tuple(waiting):
+                if instance not in self.deployment.instances:
+                    waiting.discard(instance)
+                    continue
+                status = await self.deployment.status_of(instance)
+                if read_version(status, name) >= version:
+                    waiting.discard(instance)
+            await asyncio.sleep(IN_FORCE_POLL_S)
+        if waiting:
+            self.record.fault('not_in_force', f'{name} {version}: {sorted(waiting)}')
+
+    async def _partition(self, side: str, other: str) -> None:
+        await self.deployment.partition(side.split(','), other.split(','))
+
+    async def _rule(self, where: str, name: str, *pairs: str) -> None:
+        values = dict(pair.split('=', 1) for pair in pairs)
+        await self.deployment.set_rule(where, name, **values)
+
+    async def _swing(self, load: str, factor: str, over_s: str = '2') -> None:
+        await self.groups[load].ramp(float(factor), float(over_s))
+
+    async def _set_platform(self, state: str) -> None:
+        await self.deployment.set_platform(is_down=state == 'down')
+
+    def resolve(self, name: str) -> str:
+        """
+        Return the name of an instance.
+
+        ``owner:UPSTREAM`` is the instance that serves most flows of an
+        upstream, ``DOMAIN:first`` the first instance of a failure domain.
+        """
+        kind, _, rest = name.partition(':')
+        if kind == 'owner':
+            return self._owner_of(rest)
+        if rest == 'first':
+            rows = self.deployment.instances.values()
+            return next(row.name for row in rows if row.domain.name == kind)
+        return name
+
+    def _owner_of(self, upstream: str) -> str:
+        stats = self.loads[-1][1][upstream]
+        homes = stats.get('homes')
+        names = Counter(homes if isinstance(homes, dict) else {})
+        live = [
+            row for row in names.most_common() if row[0] in self.deployment.instances
+        ]
+        if not live:
+            raise LookupError(f'no instance serves {upstream}')
+        return live[0][0]
+
+    # Figures
+
+    async def _collect(self) -> Outcome:
+        stats = await self.deployment.upstream_stats()
+        outcome = Outcome(self.plan.name)
+        outcome.events = self.events
+        outcome.faults = self.record.faults
+        outcome.marks = dict(self.marks)
+        outcome.figures = {
+            **self._count_flows(),
+            **self._count_requests(),
+            **self._check_executions(),
+            **self._measure_balance(),
+            **count_upstreams(stats),
+        }
+        outcome.latencies = {
+            name: {key: percentile(row, share) for key, share in SHARES.items()}
+            for name, row in latencies_by_class(self.record.samples)
+        }
+        outcome.refusals = dict(
+            Counter(
+                f'{row.status.value}: {row.reason}'
+                for row in self.record.samples
+                if row.status is not Status.DONE
+            )
+        )
+        outcome.log_errors = self._log_errors()
+        return outcome
+
+    def _is_excused(self, row: Break) -> bool:
+        return row.upstream in self.lost_upstreams
+
+    def _count_flows(self) -> dict[str, float]:
+        counts = self.record.counts
+        breaks = self.record.breaks
+        excused = [row for row in breaks if self._is_excused(row)]
+        for row in breaks:
+            if not self._is_excused(row):
+                at_s = row.at_s - self.began_s
+                text = f'broken flow: {row.load} on {row.upstream} at {at_s:.1f} s'
+                self.record.faults.append(text)
+        return {
+            'flows_opened': counts['flows_opened'],
+            'flows_resumed': counts['resumed'],
+            'flows_broken': len(breaks) - len(excused),
+            'flows_lost_with_upstream': len(excused),
+            'opens_refused': counts['open_refused'],
+            'open_p99_ms': percentile(self.record.open_ms, 0.99),
+            'pushes': counts['pushes'],
+            'foreign_pushes': counts['foreign_pushes'],
+            'read_your_writes': counts['read_your_writes'],
+            'stale_reads': counts['stale_reads'],
+            'wrong_answers': counts['wrong_answers'],
+            'caller_errors': counts['caller_errors'],
+            'event_errors': counts['event_errors'],
+            'unclean_stops': counts['unclean_stops'],
+            'not_in_force': counts['not_in_force'],
+        }
+
+    def _count_requests(self) -> dict[str, float]:
+        statuses = Counter(row.status for row in self.record.samples)
+        return {
+            'requests': len(self.record.samples),
+            'requests_done': statuses[Status.DONE],
+            'requests_not_run': statuses[Status.NOT_RUN],
+            'requests_unknown': statuses[Status.UNKNOWN],
+        }
+
+    def _check_executions(self) -> dict[str, float]:
+        """Compare what callers were told with what the upstreams ran."""
+        runs: Counter[str] = Counter()
+        path = self.deployment.execution_log
+        for line in path.read_text().splitlines() if path.exists() else ():
+            row = json.loads(line)
+            if row['event'] == 'start':
+                runs[row['token']] += 1
+        twice = [
+            token
+            for token, count in runs.items()
+            if count > 1 and not self.record.issued.get(token, False)
+        ]
+        false_not_run = [
+            row.token
+            for row in self.record.samples
+            if row.status is Status.NOT_RUN and runs[row.token]
+        ]
+        never_run = [
+            row.token
+            for row in self.record.samples
+            if row.status is Status.DONE and not runs[row.token]
+        ]
+        for kind, tokens in (
+            ('run twice', twice),
+            ('false not run', false_not_run),
+            ('done but never run', never_run),
+        ):
+            self.record.faults.extend(f'{kind}: {token}' for token in tokens)
+        return {
+            'run_twice': len(twice),
+            'false_not_run': len(false_not_run),
+            'done_never_run': len(never_run),
+        }
+
+    def _measure_balance(self) -> dict[str, float]:
+        """Return the largest imbalance over services, at the last sample."""
+        if not self.loads:
+            return {}
+        first, last = self.loads[0][1], self.loads[-1][1]
+        for _, stats in self.loads:
+            first = stats if len(stats) == len(self.deployment.upstreams) else first
+            break
+        flows: list[float] = []
+        busy: list[float] = []
+        for service in self.plan.services:
+            names = [
+                row.name
+                for row in self.deployment.upstreams.values()
+                if row.service.name == service.name
+                and row.state == 'live'
+                and row.name in last
+                and row.name not in self.lost_upstreams
+            ]
+            flows.append(
+                max_over_mean([number(last[name], 'flows_open') for name in names])
+            )
+            busy.append(
+                max_over_mean(
+                    [
+                        number(last[name], 'busy_ms')
+                        - number(first.get(name, {}), 'busy_ms')
+                        for name in names
+                    ]
+                )
+            )
+        return {
+            'imbalance_flows': max(flows, default=0),
+            'imbalance_busy': max(busy, default=0),
+        }
+
+    def _log_errors(self) -> list[str]:
+        found: list[str] = []
+        for path in sorted(self.processes.folder.glob('*.log')):
+            for line in path.read_text(errors='replace').splitlines():
+                if 'invariant' in line and 'violated' in line or 'Error' in line:
+                    found.append(f'{path.stem}: {line[:200]}')
+        return found[:50]
+
+
+def number(stats: Mapping[str, object], name: str) -> float:
+    """Return a figure of an upstream, 0 if it has none."""
+    return float(str(stats.get(name, 0)))
+
+
+def max_over_mean(values: list[float]) -> float:
+    """Return the largest value over the mean, 0 if there is nothing."""
+    total = sum(values)
+    return max(values) * len(values) / total if total else 0
+
+
+def read_version(status: object, name: str) -> int:
+    """Return the version of a document in a status page, or -1."""
+    versions = status.get('versions') if isinstance(status, dict) else None
+    found = versions.get(name, -1) if isinstance(versions, dict) else -1
+    return int(found)
+
+
+def count_upstreams(stats: Mapping[str, Mapping[str, object]]) -> dict[str, float]:
+    """Return sums over the upstreams."""
+    late = [number(row, 'last_new_flow_after_drain_ms') for row in stats.values()]
+    return {
+        'misrouted': sum(number(row, 'misrouted') for row in stats.values()),
+        'double_runs_at_upstream': sum(
+            number(row, 'double_runs') for row in stats.values()
+        ),
+        'last_new_flow_after_drain_ms': max(late, default=0),
+    }
+
+
+def print_outcome(outcome: Outcome) -> None:
+    """Print the table."""
+    print(f'scenario {outcome.name}')
+    for line in outcome.events:
+        print(f'  event {line}')
+    for name, value in outcome.figures.items():
+        print(f'  {name:32} {value:12.6g}')
+    for name, row in outcome.latencies.items():
+        text = '  '.join(f'{key} {value:8.1f}' for key, value in row.items())
+        print(f'  latency of {name:10} {text}')
+    if 'config_in_force_s' in outcome.marks:
+        print(f'  config_in_force_s {outcome.marks["config_in_force_s"]:26.2f}')
+    for reason, count in sorted(outcome.refusals.items()):
+        print(f'  {reason:32} {count:12}')
+    for line in (*outcome.faults[:20], *outcome.log_errors[:20]):
+        print(f'  ! {line}')
+
+
+def run_plan(
+    plan: ScenarioPlan, folder: Path | None = None
+) -> tuple[Outcome, Scenario]:
+    """Run a plan in a temporary folder, or in a given one that is kept."""
+
+    async def run(path: Path) -> tuple[Outcome, Scenario]:
+        scenario = Scenario(plan, path)
+        return await scenario.run(), scenario
+
+    if folder is not None:
+        folder.mkdir(parents=True, exist_ok=True)
+        return asyncio.run(run(folder))
+    with tempfile.TemporaryDirectory(prefix='cardamomtiller-') as name:
+        return asyncio.run(run(Path(name)))
+
+
+def main() -> int:
+    """Run one scenario file."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('scenario', type=Path)
+    parser.add_argument('--json', type=Path, help='write the figures to this file')
+    parser.add_argument('--keep', type=Path, help='folder for logs and settings')
+    parser.add_argument('--set', action='append', default=[], metavar='KEY=VALUE')
+    options = parser.parse_args()
+    changes = dict(text.split('=', 1) for text in options.set)
+    outcome, _ = run_plan(load_plan(options.scenario, changes), options.keep)
+    print_outcome(outcome)
+    if options.json:
+        options.json.write_text(json.dumps(asdict(outcome), indent=2))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tools/standins/admin.py
+++ b/tools/standins/admin.py
@@ -6,8 +6,11 @@
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
+from cardamomtiller.identity import Endpoint
+
 LARGEST_BODY_BYTES = 4_000_000
 REQUEST_TIMEOUT_S = 30
+CALL_TIMEOUT_S = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,3 +114,34 @@
         *(f'{name}: {value}' for name, value in result.headers.items()),
     ]
     return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+async def call_admin(
+    address: Endpoint, method: str, path: str, body: bytes = b''
+) -> object:
+    """
+    Send one request and return the decoded answer.
+
+    Raises
+    ------
+    OSError, TimeoutError
+        If there is no answer.
+    ValueError
+        If the answer is an error or is not JSON.
+    """
+    async with asyncio.timeout(CALL_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(*address.as_pair())
+        try:
+            head = f'{method} {path} HTTP/1.1\r\nHost: {address}\r\n'
+            head += f'Content-Length: {len(body)}\r\n\r\n'
+            writer.write(head.encode() + body)
+            answer = await reader.read()
+        finally:
+            writer.close()
+    first, _, rest = answer.partition(b'\r\n\r\n')
+    words = first.split(maxsplit=2)
+    if len(words) < 2:
+        raise ConnectionError(f'{address} gave no answer')
+    if words[1] != b'200':
+        raise ValueError(f'{method} {address}{path}: {answer.decode()}')
+    return json.loads(rest)
--- /dev/null
+++ b/tools/standins/callers.py
@@ -0,0 +1,324 @@
+"""Callers: groups of flows that send requests and check what comes back."""
+
+import asyncio
+import contextlib
+import json
+import random
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from cardamomtiller.client import Client, ClientOptions, OpenError, Status
+from cardamomtiller.identity import Endpoint, ServiceClass
+from tools.plan import LoadPlan
+
+WRITE_READ = 'write_read'
+WATCH_INTERVAL_S = 0.1
+OUTSTANDING_PER_FLOW = 64
+REFUSED_PAUSE_S = 0.2
+CLOSE_TIMEOUT_S = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One request that ended; times are monotonic."""
+
+    load: str
+    customer: str
+    service_class: str
+    token: str
+    is_idempotent: bool
+    started_s: float
+    latency_ms: float
+    status: Status
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Break:
+    """A flow that broke, and the upstream that served it."""
+
+    load: str
+    upstream: str
+    at_s: float
+
+
+@dataclass(slots=True)
+class Record:
+    """Everything that the callers saw."""
+
+    samples: list[Sample] = field(default_factory=list)
+    breaks: list[Break] = field(default_factory=list)
+    open_ms: list[float] = field(default_factory=list)
+    counts: Counter[str] = field(default_factory=Counter)
+    faults: list[str] = field(default_factory=list)
+    issued: dict[str, bool] = field(default_factory=dict)
+
+    def fault(self, kind: str, detail: str) -> None:
+        """Count a violated expectation and keep its detail."""
+        self.counts[kind] += 1
+        self.faults.append(f'{kind}: {detail}')
+
+
+@dataclass(slots=True)
+class Group:
+    """The callers of one load; ``factor`` multiplies their demand."""
+
+    plan: LoadPlan
+    address: Endpoint
+    secrets: dict[str, bytes]
+    record: Record
+    seed: int
+    factor: float = 1
+    callers: list['Caller'] = field(default_factory=list)
+
+    async def run(self) -> None:
+        """Run all callers until cancelled, then close their flows."""
+        generator = random.Random(f'{self.seed} {self.plan.name}')
+        customers = self.plan.customers
+        for number in range(self.plan.flows):
+            customer = customers[number % len(customers)]
+            self.callers.append(Caller(self, number, customer, generator.random()))
+        await asyncio.sleep(self.plan.start_s)
+        tasks = [asyncio.create_task(caller.run()) for caller in self.callers]
+        tasks.append(asyncio.create_task(self._watch()))
+        try:
+            await asyncio.gather(*tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def ramp(self, factor: float, over_s: float) -> None:
+        """Change the demand evenly over a time."""
+        first = self.factor
+        begin_s = time.monotonic()
+        while (passed_s := time.monotonic() - begin_s) < over_s:
+            self.factor = first + (factor - first) * passed_s / over_s
+            await asyncio.sleep(WATCH_INTERVAL_S / 2)
+        self.factor = factor
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            for caller in self.callers:
+                caller.note_breaks()
+
+
+class Caller:
+    """One flow, opened again when its life ends."""
+
+    def __init__(self, group: Group, number: int, customer: str, phase: float) -> None:
+        """Choose the times of the caller; ``phase`` is between 0 and 1."""
+        self.group = group
+        self.plan = group.plan
+        self.record = group.record
+        self.customer = customer
+        self.name = f'{self.plan.name}-{number}'
+        self.client: Client | None = None
+        self._phase = phase
+        self._random = random.Random(f'{group.seed} {self.name}')
+        self._tokens = 0
+        self._breaks_seen = 0
+        self._upstream = ''
+        self._push_source: tuple[str, int] | None = None
+
+    async def run(self) -> None:
+        """Open, work and close, again and again."""
+        await asyncio.sleep(self._phase * self.plan.open_over_s)
+        while True:
+            client = await self._open()
+            tasks = [asyncio.create_task(self._send_requests(client))]
+            if self.plan.has_pushes:
+                tasks.append(asyncio.create_task(self._read_pushes(client)))
+            life_s = self.plan.flow_life_s
+            try:
+                await asyncio.sleep(
+                    life_s * self._random.uniform(0.5, 1.5) if life_s else 1e9
+                )
+            finally:
+                await self._end(client, tasks)
+
+    async def _end(self, client: Client, tasks: list[asyncio.Task[None]]) -> None:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.note_breaks()
+        self.record.counts['resumed'] += client.counts.resumed
+        self.record.counts['packets_dropped'] += client.counts.dropped
+        self.record.counts['flows_closed'] += 1
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(client.close(), CLOSE_TIMEOUT_S)
+        self.client = None
+
+    async def _open(self) -> Client:
+        while True:
+            client = Client(
+                self.group.address,
+                self.customer,
+                self.group.secrets[self.customer],
+                ClientOptions(),
+            )
+            begin_s = time.monotonic()
+            try:
+                await client.open()
+            except OpenError as error:
+                self.record.counts['open_refused'] += 1
+                self.record.counts[f'open_refused {error.reason}'] += 1
+                await client.close()
+                pause_s = max(error.retry_after_ms / 1000, REFUSED_PAUSE_S)
+                await asyncio.sleep(pause_s)
+                continue
+            except BaseException:
+                await client.close()
+                raise
+            self.record.open_ms.append((time.monotonic() - begin_s) * 1000)
+            self.record.counts['flows_opened'] += 1
+            self._breaks_seen = 0
+            self._upstream = client.upstream
+            self._push_source = None
+            self.client = client
+            return client
+
+    def note_breaks(self) -> None:
+        """Record a break with the upstream that the flow had before."""
+        client = self.client
+        if client is None:
+            return
+        if client.counts.broken > self._breaks_seen:
+            self._breaks_seen = client.counts.broken
+            broken = Break(self.plan.name, self._upstream, time.monotonic())
+            self.record.breaks.append(broken)
+            # The new flow of the same client has a push numbering of its own.
+            self._push_source = None
+        if client.upstream and client.counts.broken < client.counts.opened:
+            self._upstream = client.upstream
+
+    # Requests
+
+    async def _send_requests(self, client: Client) -> None:
+        if not self.plan.request_interval_ms:
+            return
+        running: set[asyncio.Task[None]] = set()
+        try:
+            while True:
+                mean_s = self.plan.request_interval_ms / 1000 / self.group.factor
+                await asyncio.sleep(self._random.expovariate(1 / mean_s))
+                if len(running) >= OUTSTANDING_PER_FLOW:
+                    self.record.counts['requests_held_back'] += 1
+                    continue
+                task = asyncio.create_task(self._work(client))
+                running.add(task)
+                task.add_done_callback(running.discard)
+        finally:
+            for task in tuple(running):
+                task.cancel()
+            await asyncio.gather(*running, return_exceptions=True)
+
+    async def _work(self, client: Client) -> None:
+        if self.plan.op == WRITE_READ:
+            await self._write_and_read(client)
+            return
+        body = self._random.randbytes(self.plan.payload_bytes)
+        answer = await self._request(client, self.plan.op, '', body)
+        if answer is None or self.plan.op != 'echo':
+            return
+        size = self.plan.answer_bytes
+        expected = (body * (size // len(body) + 1))[:size] if size else body
+        if answer != expected:
+            self.record.fault('wrong_answers', f'{self.name}: {len(answer)} bytes')
+
+    async def _write_and_read(self, client: Client) -> None:
+        breaks = client.counts.broken
+        key = f'{self.name} {self._tokens}'
+        value = f'value {self._random.random()}'.encode()
+        written = await self._request(client, 'write', key, value)
+        if written is None:
+            return
+        read = await self._request(client, 'read', key, b'', is_idempotent=True)
+        if read is None or client.counts.broken != breaks:
+            return
+        self.record.counts['read_your_writes'] += 1
+        if read != value:
+            self.record.fault('stale_reads', f'{key}: {read!r}')
+
+    async def _request(
+        self,
+        client: Client,
+        op: str,
+        key: str,
+        body: bytes,
+        *,
+        is_idempotent: bool | None = None,
+    ) -> bytes | None:
+        plan = self.plan
+        if is_idempotent is None:
+            is_idempotent = plan.is_idempotent
+        self._tokens += 1
+        token = f'{self.name} {self._tokens}'
+        header = {
+            'token': token,
+            'service': plan.service,
+            'op': op,
+            'key': key,
+            'work_ms': plan.work_ms,
+            'answer_bytes': plan.answer_bytes if op == 'echo' else 0,
+        }
+        self.record.issued[token] = is_idempotent
+        begin_s = time.monotonic()
+        answer = await client.request(
+            json.dumps(header).encode() + b'\n' + body,
+            service_class=ServiceClass[plan.service_class.upper()],
+            is_idempotent=is_idempotent,
+            timeout_ms=plan.timeout_ms,
+        )
+        sample = Sample(
+            load=plan.name,
+            customer=self.customer,
+            service_class=plan.service_class,
+            token=token,
+            is_idempotent=is_idempotent,
+            started_s=begin_s,
+            latency_ms=(time.monotonic() - begin_s) * 1000,
+            status=answer.status,
+            reason=answer.reason,
+        )
+        self.record.samples.append(sample)
+        return answer.payload if answer.status is Status.DONE else None
+
+    # Pushes
+
+    async def _read_pushes(self, client: Client) -> None:
+        async for payload in client.pushes():
+            self.record.counts['pushes'] += 1
+            push = json.loads(payload)
+            if push['service'] != self.plan.service:
+                self.record.fault('misrouted', f'{self.name}: push of {push}')
+            source = (push['upstream'], push['incarnation'])
+            if self._push_source and source != self._push_source:
+                self.note_breaks()
+            if self._push_source and source != self._push_source:
+                self.record.fault('foreign_pushes', f'{self.name}: {push}')
+            self._push_source = source
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return a percentile by nearest rank; 0 for no values."""
+    if not values:
+        return 0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def latencies_by_class(samples: list[Sample]) -> Iterator[tuple[str, list[float]]]:
+    """Iterate over the latencies of requests that were done, by class."""
+    for name in sorted({row.service_class for row in samples}):
+        yield (
+            name,
+            [
+                row.latency_ms
+                for row in samples
+                if row.service_class == name and row.status is Status.DONE
+            ],
+        )
--- a/tools/standins/upstream.py
+++ b/tools/standins/upstream.py
@@ -217,6 +217,7 @@
 
     def _open_flow(self, link: Link, message: FlowOpen) -> None:
         record = message.flow
+        link.instance = message.home
         held = self.flows.get(record.flow_id)
         opened = FlowOpened(flow_id=record.flow_id, generation=record.generation)
         if held and record.generation <= held.record.generation:
@@ -392,6 +393,8 @@
             link.bodies.pop(key, None)
         for task, running in tuple(self._running.items()):
             if running == key:
+                # The slot is free for the frame that follows the cancellation.
+                del self._running[task]
                 task.cancel()
 
     def _factor(self) -> float:
@@ -446,6 +449,8 @@
         if now - flow.used_ms > self.behaviour.flow_idle_ms:
             del self.flows[flow_id]
             self.counts['flows_idle'] += 1
+            closing = FlowClose(flow_id=flow_id, generation=flow.record.generation)
+            flow.link.send(UpstreamFrame(flow_close=closing))
             return
         for push_id, (sent_ms, payload) in tuple(flow.pushes.items()):
             if now - sent_ms >= PUSH_RESEND_MS:
@@ -485,6 +490,9 @@
                 'flows_open': len(self.flows),
                 'running': len(self._running),
                 'links': [link.instance for link in self.links],
+                'homes': dict(
+                    Counter(flow.link.instance for flow in self.flows.values())
+                ),
                 'busy_ms': self.busy_ms + running_ms,
                 'double_runs': self.counts['double_runs'],
                 'misrouted': self.counts['misrouted_requests']
