--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -149,6 +149,7 @@
             'rule': self._rule,
             'swing': self._swing,
             'platform': self._set_platform,
+            'mark': self._mark,
         }
 
     async def _kill(self, name: str) -> None:
@@ -224,6 +225,9 @@
     async def _set_platform(self, state: str) -> None:
         await self.deployment.set_platform(is_down=state == 'down')
 
+    async def _mark(self, name: str) -> None:
+        self.marks[name] = time.monotonic()
+
     def resolve(self, name: str) -> str:
         """
         Return the name of an instance.
--- a/tools/standins/callers.py
+++ b/tools/standins/callers.py
@@ -18,6 +18,8 @@
 OUTSTANDING_PER_FLOW = 64
 REFUSED_PAUSE_S = 0.2
 CLOSE_TIMEOUT_S = 5
+# A change of demand takes effect within this time.
+DEMAND_STEP_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,8 +205,7 @@
         running: set[asyncio.Task[None]] = set()
         try:
             while True:
-                mean_s = self.plan.request_interval_ms / 1000 / self.group.factor
-                await asyncio.sleep(self._random.expovariate(1 / mean_s))
+                await self._wait_for_demand()
                 if len(running) >= OUTSTANDING_PER_FLOW:
                     self.record.counts['requests_held_back'] += 1
                     continue
@@ -216,6 +217,15 @@
                 task.cancel()
             await asyncio.gather(*running, return_exceptions=True)
 
+    async def _wait_for_demand(self) -> None:
+        """Wait for the next arrival of a Poisson process of changing rate."""
+        needed = self._random.expovariate(1)
+        while needed > 0:
+            rate_per_s = self.group.factor * 1000 / self.plan.request_interval_ms
+            step_s = min(needed / max(rate_per_s, 1e-9), DEMAND_STEP_S)
+            await asyncio.sleep(step_s)
+            needed -= step_s * rate_per_s
+
     async def _work(self, client: Client) -> None:
         if self.plan.op == WRITE_READ:
             await self._write_and_read(client)
