--- /dev/null
+++ b/src/cardamomtiller/client.py
@@ -0,0 +1,689 @@
+"""
+The caller library: open a flow, send requests, read pushes.
+
+A request ends in one of three ways. ``DONE`` carries the whole answer.
+``NOT_RUN`` is certain: the request was not executed and may be sent again.
+``UNKNOWN`` means that it may have been executed; read the state before sending
+a non-idempotent request again.
+"""
+
+import asyncio
+import contextlib
+import os
+import random
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from types import TracebackType
+from typing import Self
+
+from returns.result import Failure
+
+from cardamomtiller import codec
+from cardamomtiller.codec import ChunkSender, Reassembly
+from cardamomtiller.identity import (
+    FLOW_ID_BYTES,
+    MS_PER_S,
+    Endpoint,
+    FlowId,
+    ServiceClass,
+)
+from cardamomtiller.wire_pb2 import Answer as AnswerMessage
+from cardamomtiller.wire_pb2 import (
+    AnswerAck,
+    AnswerStatus,
+    Cancel,
+    Close,
+    Keepalive,
+    Open,
+    Packet,
+    PushAck,
+    Reason,
+    Request,
+    RequestAck,
+)
+
+WINDOW_CHUNKS = 32
+FIRST_RESEND_MS = 100
+LONGEST_RESEND_MS = 1000
+# The home answers at the deadline; its answer needs time to arrive.
+DEADLINE_GRACE_MS = 300
+COOKIES_KEPT = 8
+LARGEST_ANSWER_CHUNKS = 4096
+PUSHES_HELD = 1000
+
+
+class Status(Enum):
+    """How a request ended."""
+
+    DONE = 'done'
+    NOT_RUN = 'not run'
+    UNKNOWN = 'outcome unknown'
+
+
+class OpenError(Exception):
+    """The flow was not opened; ``reason`` and ``retry_after_ms`` say why."""
+
+    def __init__(self, reason: str, retry_after_ms: float) -> None:
+        """Keep the reason."""
+        super().__init__(f'flow refused: {reason}')
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """
+    Ending of a request.
+
+    ``retry_after_ms`` is 0 unless the request was refused with a hint.
+    """
+
+    status: Status
+    payload: bytes = b''
+    reason: str = ''
+    retry_after_ms: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ClientOptions:
+    """Times of a flow in milliseconds."""
+
+    open_timeout_ms: float = 10_000
+    silence_ms: float = 3000
+    lost_ms: float = 8000
+    is_reopening: bool = True
+
+
+@dataclass(slots=True)
+class ClientCounts:
+    """What happened to the flow so far."""
+
+    opened: int = 0
+    resumed: int = 0
+    broken: int = 0
+    resent: int = 0
+    dropped: int = 0
+
+
+@dataclass(slots=True)
+class _Outstanding:
+    request_id: int
+    service_class: ServiceClass
+    is_idempotent: bool
+    deadline_ms: float
+    total_bytes: int
+    sender: ChunkSender
+    wake: asyncio.Event
+    done: asyncio.Future[Answer]
+    generation: int = 0
+    cookie: bytes = b''
+    # The request may only be sent under a generation of at least this.
+    least_generation: int = 1
+    is_sent: bool = False
+    is_home_lost: bool = False
+    sent_ms: dict[int, float] = field(default_factory=dict)
+    resend_ms: float = FIRST_RESEND_MS
+    answer: Reassembly | None = None
+
+    def finish(self, answer: Answer) -> None:
+        if not self.done.done():
+            self.done.set_result(answer)
+        self.wake.set()
+
+    def rebind(self, least_generation: int) -> None:
+        """Let the request be sent again under another generation."""
+        self.generation = 0
+        self.cookie = b''
+        self.least_generation = least_generation
+        self.sender = ChunkSender(self.sender.chunks)
+        self.sent_ms.clear()
+        self.answer = None
+        self.wake.set()
+
+
+class _Protocol(asyncio.DatagramProtocol):
+    def __init__(self, receive: Callable[[bytes], None]) -> None:
+        self._receive = receive
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        self._receive(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore ICMP errors; resends and silence decide."""
+
+
+class Client:
+    """
+    One flow to a service.
+
+    The flow survives the loss of any instance. When its upstream is gone the
+    flow is broken; it is then opened again on another upstream, requests that
+    may have run end as ``UNKNOWN``, idempotent ones are sent again.
+
+    Parameters
+    ----------
+    address
+        Datagram address of the service.
+    customer
+        Name of the customer.
+    secret
+        Secret of the customer.
+    options
+        Times of the flow.
+    """
+
+    def __init__(
+        self,
+        address: Endpoint,
+        customer: str,
+        secret: bytes,
+        options: ClientOptions | None = None,
+    ) -> None:
+        """Prepare; nothing is sent before ``open``."""
+        self.counts = ClientCounts()
+        self.upstream = ''
+        self._address = address
+        self._customer = customer
+        self._secret = secret
+        self._options = options or ClientOptions()
+        self._transport: asyncio.DatagramTransport | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._outstanding: dict[int, _Outstanding] = {}
+        self._next_request_id = 1
+        self._pushes: asyncio.Queue[bytes] = asyncio.Queue()
+        self._keepalive_ms: float = MS_PER_S
+        self._is_closed = False
+        self._opened = asyncio.Event()
+        self._resume_wanted = asyncio.Event()
+        self._reset_flow()
+
+    # Public interface
+
+    async def __aenter__(self) -> Self:
+        """Open the flow."""
+        await self.open()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the flow."""
+        await self.close()
+
+    async def open(self) -> None:
+        """
+        Open the flow.
+
+        Raises
+        ------
+        OpenError
+            If the flow is refused or nobody answers within the open timeout.
+        """
+        await self._open_new()
+        self._spawn(self._keep_alive())
+        self._spawn(self._keep_open())
+
+    async def request(
+        self,
+        payload: bytes,
+        *,
+        service_class: ServiceClass = ServiceClass.NORMAL,
+        is_idempotent: bool = False,
+        timeout_ms: float = 10_000,
+    ) -> Answer:
+        """
+        Send a request and wait for its ending.
+
+        Parameters
+        ----------
+        payload
+            Body of the request.
+        service_class
+            Priority class.
+        is_idempotent
+            Whether the request may be executed more than once.
+        timeout_ms
+            Deadline from now.
+
+        Returns
+        -------
+        Answer
+            How the request ended; a deadline is not an exception.
+        """
+        outstanding = _Outstanding(
+            request_id=self._next_request_id,
+            service_class=service_class,
+            is_idempotent=is_idempotent,
+            deadline_ms=_now_ms() + timeout_ms,
+            total_bytes=len(payload),
+            sender=ChunkSender(codec.split_chunks(payload)),
+            wake=asyncio.Event(),
+            done=asyncio.get_running_loop().create_future(),
+        )
+        self._next_request_id += 1
+        self._outstanding[outstanding.request_id] = outstanding
+        try:
+            await self._drive(outstanding)
+        except asyncio.CancelledError:
+            self._cancel(outstanding)
+            raise
+        finally:
+            self._outstanding.pop(outstanding.request_id, None)
+        return outstanding.done.result()
+
+    async def pushes(self) -> AsyncIterator[bytes]:
+        """Iterate over the upstream's pushes, in order."""
+        while not self._is_closed:
+            yield await self._pushes.get()
+
+    async def close(self) -> None:
+        """Close the flow; outstanding requests end."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        for outstanding in tuple(self._outstanding.values()):
+            self._lose(outstanding, 'closed')
+        if self._cookie:
+            self._send(Packet(close=Close()), self._cookie)
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._transport:
+            self._transport.close()
+
+    @property
+    def flow(self) -> FlowId:
+        """Return the id of the flow; it changes when the flow is reopened."""
+        return self._flow
+
+    # Opening and resuming
+
+    def _reset_flow(self) -> None:
+        self._flow = FlowId(os.urandom(FLOW_ID_BYTES))
+        self._flow_key = codec.derive_flow_key(self._secret, self._flow)
+        self._cookie = b''
+        self._cookies: dict[int, bytes] = {}
+        self._generation = 0
+        self._sequence = 0
+        self._refusal: OpenError | None = None
+        self._heard_ms = _now_ms()
+        self._next_push_id = 1
+        self._held_pushes: dict[int, bytes] = {}
+        self._opened.clear()
+        self._resume_wanted.clear()
+
+    async def _open_new(self) -> None:
+        """Open a new flow over a new socket."""
+        if self._transport:
+            self._transport.close()
+        self._reset_flow()
+        loop = asyncio.get_running_loop()
+        transport, _protocol = await loop.create_datagram_endpoint(
+            lambda: _Protocol(self._receive),
+            remote_addr=self._address.as_pair(),
+        )
+        self._transport = transport
+        deadline_ms = _now_ms() + self._options.open_timeout_ms
+        resend_ms: float = FIRST_RESEND_MS
+        while not self._opened.is_set():
+            if _now_ms() > deadline_ms:
+                raise self._refusal or OpenError('no answer', 0)
+            self._send_open(is_resume=False)
+            await _wait_event(self._opened, resend_ms)
+            if self._refusal and not self._opened.is_set():
+                await asyncio.sleep(self._refusal.retry_after_ms / MS_PER_S)
+            resend_ms = min(resend_ms * 2, LONGEST_RESEND_MS)
+        self.counts.opened += 1
+
+    def _send_open(self, *, is_resume: bool) -> None:
+        message = Open(
+            customer=self._customer,
+            sent_unix_ms=int(time.time() * MS_PER_S),
+            is_resume=is_resume,
+        )
+        self._send(Packet(open=message), self._cookie)
+
+    async def _keep_open(self) -> None:
+        """Resume the flow when asked; open a new one when it is broken."""
+        while not self._is_closed:
+            await self._resume_wanted.wait()
+            if self._cookie and await self._resume():
+                self.counts.resumed += 1
+                continue
+            self._break_flow('flow lost')
+            if not self._options.is_reopening:
+                return
+            await self._reopen()
+
+    async def _resume(self) -> bool:
+        resend_ms: float = FIRST_RESEND_MS
+        deadline_ms = _now_ms() + self._options.lost_ms
+        while _now_ms() < deadline_ms and self._cookie:
+            if not self._resume_wanted.is_set():
+                return True
+            self._send_open(is_resume=True)
+            await asyncio.sleep(random.uniform(0.7, 1) * resend_ms / MS_PER_S)
+            resend_ms = min(resend_ms * 2, LONGEST_RESEND_MS)
+        return not self._resume_wanted.is_set()
+
+    async def _reopen(self) -> None:
+        while not self._is_closed:
+            try:
+                await self._open_new()
+            except OpenError as error:
+                await asyncio.sleep(error.retry_after_ms / MS_PER_S)
+            else:
+                break
+        for outstanding in self._outstanding.values():
+            outstanding.rebind(1)
+
+    def _break_flow(self, reason: str) -> None:
+        self.counts.broken += 1
+        self._cookie = b''
+        for outstanding in tuple(self._outstanding.values()):
+            if outstanding.is_sent and outstanding.is_idempotent:
+                outstanding.rebind(1)
+            elif outstanding.is_sent:
+                self._lose(outstanding, reason)
+
+    async def _keep_alive(self) -> None:
+        while not self._is_closed:
+            wait_ms = self._keepalive_ms * random.uniform(0.8, 1.2)
+            await asyncio.sleep(wait_ms / MS_PER_S)
+            if not self._cookie:
+                continue
+            keepalive = Keepalive(first_open_request_id=self._first_open())
+            self._send(Packet(keepalive=keepalive), self._cookie)
+            if _now_ms() - self._heard_ms > self._options.silence_ms:
+                self._resume_wanted.set()
+
+    # Requests
+
+    async def _drive(self, outstanding: _Outstanding) -> None:
+        """Send a request until it has ended."""
+        while not outstanding.done.done():
+            now_ms = _now_ms()
+            if now_ms > outstanding.deadline_ms + DEADLINE_GRACE_MS:
+                self._cancel(outstanding)
+                self._lose(outstanding, 'deadline exceeded')
+                return
+            if now_ms < outstanding.deadline_ms:
+                self._send_chunks(outstanding, now_ms)
+            outstanding.wake.clear()
+            await _wait_event(outstanding.wake, outstanding.resend_ms)
+
+    def _send_chunks(self, outstanding: _Outstanding, now_ms: float) -> None:
+        if not outstanding.cookie and not self._bind(outstanding):
+            return
+        window = max(1, WINDOW_CHUNKS)
+        is_resend = False
+        indexes = tuple(outstanding.sender.missing(window))
+        if outstanding.sender.is_complete:
+            # Everything has arrived; one chunk asks for the answer again.
+            indexes = (0,)
+        for index in indexes:
+            sent_ms = outstanding.sent_ms.get(index)
+            if sent_ms is not None and now_ms - sent_ms < outstanding.resend_ms:
+                continue
+            is_resend = is_resend or sent_ms is not None
+            outstanding.sent_ms[index] = now_ms
+            self._send_chunk(outstanding, index, now_ms)
+        if is_resend:
+            self.counts.resent += 1
+            longer_ms = outstanding.resend_ms * 2
+            outstanding.resend_ms = min(longer_ms, LONGEST_RESEND_MS)
+
+    def _bind(self, outstanding: _Outstanding) -> bool:
+        """Tie the request to the current cookie, if it may be sent under it."""
+        if not self._cookie or self._generation < outstanding.least_generation:
+            return False
+        outstanding.cookie = self._cookie
+        outstanding.generation = self._generation
+        outstanding.resend_ms = FIRST_RESEND_MS
+        return True
+
+    def _send_chunk(
+        self,
+        outstanding: _Outstanding,
+        index: int,
+        now_ms: float,
+    ) -> None:
+        message = Request(
+            request_id=outstanding.request_id,
+            service_class=codec.wire_class(outstanding.service_class),
+            is_idempotent=outstanding.is_idempotent,
+            timeout_ms=max(1, int(outstanding.deadline_ms - now_ms)),
+            chunk_index=index,
+            chunk_count=len(outstanding.sender.chunks),
+            total_bytes=outstanding.total_bytes,
+            first_open_request_id=self._first_open(),
+            payload=outstanding.sender.chunks[index],
+        )
+        outstanding.is_sent = True
+        self._send(Packet(request=message), outstanding.cookie)
+
+    def _cancel(self, outstanding: _Outstanding) -> None:
+        if outstanding.cookie:
+            cancel = Cancel(request_id=outstanding.request_id)
+            self._send(Packet(cancel=cancel), outstanding.cookie)
+
+    def _lose(self, outstanding: _Outstanding, reason: str) -> None:
+        status = Status.UNKNOWN if outstanding.is_sent else Status.NOT_RUN
+        outstanding.finish(Answer(status, reason=reason))
+
+    def _first_open(self) -> int:
+        return min(self._outstanding, default=self._next_request_id)
+
+    # Packets from the home
+
+    def _receive(self, datagram: bytes) -> None:
+        decoded = codec.decode_packet(datagram)
+        if isinstance(decoded, Failure):
+            self.counts.dropped += 1
+            return
+        packet = decoded.unwrap()
+        if packet.flow_id != self._flow:
+            self.counts.dropped += 1
+            return
+        if not codec.is_authentic(datagram, (self._flow_key,)):
+            self._receive_unauthentic(packet, datagram)
+            return
+        self._heard_ms = _now_ms()
+        handle = self._handlers().get(packet.WhichOneof('body') or '')
+        if handle:
+            handle(packet)
+        else:
+            self.counts.dropped += 1
+
+    def _receive_unauthentic(self, packet: Packet, datagram: bytes) -> None:
+        # An instance that does not know the customer cannot make the MAC. The
+        # refusal is only a hint and never ends the attempts to open.
+        is_refusal = packet.WhichOneof('body') == 'refused'
+        if is_refusal and codec.is_authentic(datagram, (codec.PUBLIC_KEY,)):
+            self._handle_refused(packet)
+        else:
+            self.counts.dropped += 1
+
+    def _handlers(self) -> dict[str, Callable[[Packet], None]]:
+        return {
+            'opened': self._handle_opened,
+            'refused': self._handle_refused,
+            'refresh': self._handle_refresh,
+            'keepalive_answer': self._handle_keepalive_answer,
+            'request_ack': self._handle_request_ack,
+            'answer': self._handle_answer,
+            'push': self._handle_push,
+            'moved': self._handle_moved,
+            'reset': self._handle_reset,
+        }
+
+    def _handle_opened(self, packet: Packet) -> None:
+        if packet.generation < self._generation:
+            return
+        self.upstream = packet.opened.upstream
+        self._keepalive_ms = packet.opened.keepalive_ms or self._keepalive_ms
+        self._adopt(packet)
+        self._refusal = None
+        self._opened.set()
+        self._resume_wanted.clear()
+        for outstanding in self._outstanding.values():
+            outstanding.wake.set()
+
+    def _adopt(self, packet: Packet) -> None:
+        self._generation = packet.generation
+        self._cookie = packet.cookie
+        self._cookies[packet.generation] = packet.cookie
+        while len(self._cookies) > COOKIES_KEPT:
+            self._cookies.pop(min(self._cookies))
+
+    def _handle_refused(self, packet: Packet) -> None:
+        reason = Reason.Name(packet.refused.reason).removeprefix('REASON_')
+        text = reason.lower().replace('_', ' ')
+        self._refusal = OpenError(text, packet.refused.retry_after_ms)
+
+    def _handle_refresh(self, packet: Packet) -> None:
+        if packet.generation == self._generation:
+            self._adopt(packet)
+        outstanding = self._outstanding.get(packet.refresh.request_id)
+        if outstanding and outstanding.generation == packet.generation:
+            outstanding.cookie = packet.cookie
+            outstanding.sent_ms.clear()
+            outstanding.wake.set()
+
+    def _handle_keepalive_answer(self, _packet: Packet) -> None:
+        """Nothing to do: every authentic packet counts as heard."""
+
+    def _handle_request_ack(self, packet: Packet) -> None:
+        ack: RequestAck = packet.request_ack
+        outstanding = self._outstanding.get(ack.request_id)
+        if outstanding and outstanding.generation == packet.generation:
+            before = outstanding.sender.next_index
+            outstanding.sender.acknowledge(ack.next_chunk_index, ack.received_bitmap)
+            if outstanding.sender.next_index > before:
+                outstanding.resend_ms = FIRST_RESEND_MS
+                outstanding.wake.set()
+
+    def _handle_answer(self, packet: Packet) -> None:
+        message = packet.answer
+        outstanding = self._outstanding.get(message.request_id)
+        if outstanding is None:
+            self._acknowledge_finished(packet)
+            return
+        # An answer of another generation belongs to a copy that was fenced.
+        if outstanding.generation != packet.generation:
+            return
+        if not 0 < message.chunk_count <= LARGEST_ANSWER_CHUNKS:
+            return
+        if outstanding.answer is None:
+            outstanding.answer = Reassembly(message.chunk_count)
+        outstanding.answer.add(message.chunk_index, message.payload)
+        self._acknowledge(outstanding, outstanding.answer)
+        if outstanding.answer.is_complete:
+            outstanding.finish(_as_answer(message, outstanding.answer.body()))
+
+    def _acknowledge(self, outstanding: _Outstanding, answer: Reassembly) -> None:
+        ack = AnswerAck(
+            request_id=outstanding.request_id,
+            next_chunk_index=answer.next_index,
+            received_bitmap=answer.bitmap(),
+        )
+        self._send(Packet(answer_ack=ack), outstanding.cookie)
+
+    def _acknowledge_finished(self, packet: Packet) -> None:
+        cookie = self._cookies.get(packet.generation)
+        if cookie:
+            ack = AnswerAck(
+                request_id=packet.answer.request_id,
+                next_chunk_index=packet.answer.chunk_count,
+            )
+            self._send(Packet(answer_ack=ack), cookie)
+
+    def _handle_push(self, packet: Packet) -> None:
+        push = packet.push
+        if push.push_id > self._next_push_id + PUSHES_HELD:
+            return
+        ack = PushAck(push_id=push.push_id)
+        self._send(Packet(push_ack=ack), self._cookie)
+        if push.push_id >= self._next_push_id:
+            self._held_pushes[push.push_id] = push.payload
+        while self._next_push_id in self._held_pushes:
+            payload = self._held_pushes.pop(self._next_push_id)
+            self._next_push_id += 1
+            self._pushes.put_nowait(payload)
+
+    def _handle_moved(self, packet: Packet) -> None:
+        outstanding = self._outstanding.get(packet.moved.request_id)
+        if outstanding and outstanding.generation == packet.generation:
+            # The home has fenced the request: no copy of it has run there.
+            outstanding.is_sent = outstanding.is_home_lost
+            outstanding.rebind(packet.generation + 1)
+        if packet.generation >= self._generation:
+            self._resume_wanted.set()
+
+    def _handle_reset(self, packet: Packet) -> None:
+        reason = Reason.Name(packet.reset.reason).removeprefix('REASON_')
+        text = reason.lower().replace('_', ' ')
+        if packet.reset.reason == Reason.REASON_HOME_GONE:
+            self._lose_home(packet.generation, text)
+        elif packet.generation >= self._generation:
+            # Without a cookie the flow cannot be resumed and is opened anew.
+            self._cookie = b''
+            self._resume_wanted.set()
+
+    def _lose_home(self, generation: int, reason: str) -> None:
+        for outstanding in tuple(self._outstanding.values()):
+            if outstanding.generation != generation:
+                continue
+            if outstanding.is_idempotent:
+                outstanding.is_home_lost = outstanding.is_sent
+                outstanding.rebind(generation)
+            else:
+                self._lose(outstanding, reason)
+        if generation >= self._generation:
+            self._resume_wanted.set()
+
+    # Plumbing
+
+    def _send(self, packet: Packet, cookie: bytes) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._sequence += 1
+        packet.flow_id = self._flow
+        packet.cookie = cookie
+        packet.sequence = self._sequence
+        self._transport.sendto(codec.encode_packet(packet, self._flow_key))
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _as_answer(message: AnswerMessage, body: bytes) -> Answer:
+    statuses = {
+        AnswerStatus.ANSWER_STATUS_DONE: Status.DONE,
+        AnswerStatus.ANSWER_STATUS_NOT_RUN: Status.NOT_RUN,
+    }
+    reason = ''
+    if message.reason:
+        reason = Reason.Name(message.reason).removeprefix('REASON_')
+    return Answer(
+        status=statuses.get(message.status, Status.UNKNOWN),
+        payload=body,
+        reason=reason.lower().replace('_', ' '),
+        retry_after_ms=message.retry_after_ms,
+    )
+
+
+async def _wait_event(event: asyncio.Event, timeout_ms: float) -> None:
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(event.wait(), timeout_ms / MS_PER_S)
+
+
+def _now_ms() -> float:
+    return time.monotonic() * MS_PER_S
--- a/src/cardamomtiller/codec.py
+++ b/src/cardamomtiller/codec.py
@@ -4,12 +4,14 @@
 import hmac
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from typing import cast
 
 from google.protobuf.message import DecodeError
 from returns.result import Failure, Result, Success
 
-from cardamomtiller.identity import FLOW_ID_BYTES, FlowId
+from cardamomtiller.identity import FLOW_ID_BYTES, FlowId, ServiceClass
 from cardamomtiller.wire_pb2 import Packet, PeerDatagram
+from cardamomtiller.wire_pb2 import ServiceClass as WireServiceClass
 
 WIRE_VERSION = 1
 MAC_BYTES = 8
@@ -19,6 +21,8 @@
 CHUNK_BYTES = 1100
 WINDOW_BITS = 64
 FLOW_KEY_BYTES = 32
+# Key of the only packet that an instance sends to a customer it does not know.
+PUBLIC_KEY = bytes(FLOW_KEY_BYTES)
 
 
 def derive_flow_key(secret: bytes, flow: FlowId) -> bytes:
@@ -56,11 +60,19 @@
     return Success(packet)
 
 
-def is_authentic(datagram: bytes, flow_keys: Iterable[bytes]) -> bool:
-    """Return whether one of the keys made the datagram's MAC."""
+def matching_key(datagram: bytes, keys: Iterable[bytes]) -> bytes | None:
+    """Return the key that made the datagram's MAC, or None."""
     mac = datagram[1:HEADER_BYTES]
     body = datagram[HEADER_BYTES:]
-    return any(hmac.compare_digest(_mac(key, body), mac) for key in flow_keys)
+    for key in keys:
+        if hmac.compare_digest(_mac(key, body), mac):
+            return key
+    return None
+
+
+def is_authentic(datagram: bytes, keys: Iterable[bytes]) -> bool:
+    """Return whether one of the keys made the datagram's MAC."""
+    return matching_key(datagram, keys) is not None
 
 
 def encode_peer(message: PeerDatagram, cluster_key: bytes) -> bytes:
@@ -92,6 +104,11 @@
         return Failure('peer.malformed')
 
 
+def wire_class(service_class: ServiceClass) -> 'WireServiceClass.ValueType':
+    """Return a class in the form of the messages; the numbers are the same."""
+    return cast('WireServiceClass.ValueType', service_class.value)
+
+
 def split_chunks(body: bytes) -> tuple[bytes, ...]:
     """Return the body in parts of ``CHUNK_BYTES``; an empty body is one part."""
     starts = range(0, max(len(body), 1), CHUNK_BYTES)
--- /dev/null
+++ b/src/cardamomtiller/dataplane.py
@@ -0,0 +1,439 @@
+"""The data path of one instance: sockets, routing and homes."""
+
+import asyncio
+import time
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from returns.result import Failure
+
+from cardamomtiller import codec
+from cardamomtiller.cookie import CookieSealer
+from cardamomtiller.counter import Counters
+from cardamomtiller.document import UpstreamRow
+from cardamomtiller.entrance import DatagramSocket
+from cardamomtiller.flowtable import ServedFlow
+from cardamomtiller.home import Arrival, HomeOutlet, ServingParts
+from cardamomtiller.identity import (
+    MS_PER_S,
+    Endpoint,
+    InstanceId,
+    Outcome,
+    ServiceName,
+    UpstreamId,
+)
+from cardamomtiller.link import LinkOptions, TcpLink
+from cardamomtiller.routing import (
+    Answered,
+    Dropped,
+    FlowKeys,
+    Inbound,
+    Local,
+    Onward,
+    Router,
+    RoutingView,
+)
+from cardamomtiller.selection import Load, Selection
+from cardamomtiller.selection import Options as SelectionOptions
+from cardamomtiller.serving import ServedUpstream
+from cardamomtiller.settings_pb2 import Settings
+from cardamomtiller.wire_pb2 import (
+    Address,
+    Forward,
+    LoadNotice,
+    Packet,
+    PeerDatagram,
+    Reason,
+    Refused,
+    Reset,
+    UpstreamLoad,
+)
+
+TICK_MS = 20
+LOAD_REPORT_MS = 500
+# A home that gave an upstream up keeps its link while callers move.
+RETIRED_LINGER_MS = 10_000
+REFUSED_RETRY_MS = 500
+
+
+@dataclass(slots=True)
+class Served:
+    """A served upstream, its link task, and when it was given up."""
+
+    home: ServedUpstream
+    task: asyncio.Task[None]
+    address: Endpoint
+    retired_ms: float | None = None
+
+
+class DataPlane(HomeOutlet):
+    """Receive datagrams, route them, and run the homes of owned upstreams."""
+
+    def __init__(
+        self,
+        view: RoutingView,
+        settings: Settings,
+        sealer: CookieSealer,
+        counters: Counters,
+        cluster_keys: tuple[bytes, ...],
+    ) -> None:
+        """Prepare; sockets are added by ``add_service`` and ``start``."""
+        self.served: dict[UpstreamId, Served] = {}
+        self.selections: dict[ServiceName, Selection] = {}
+        self.parts: ServingParts | None = None
+        self._settings = settings
+        self._sealer = sealer
+        self._counters = counters
+        self._cluster_keys = cluster_keys
+        self._sockets: dict[ServiceName, list[DatagramSocket]] = {}
+        self._peer_socket: DatagramSocket | None = None
+        self._next_report_ms: float = 0
+        self._link_options = LinkOptions.from_settings(settings.link)
+        self._router = Router(
+            view,
+            sealer,
+            FlowKeys(),
+            self.selections,
+            settings.flow.open_skew_ms,
+        )
+
+    # Set-up
+
+    def add_service(self, service: ServiceName, address: Endpoint) -> None:
+        """Listen on an address of a service."""
+
+        def receive(datagram: bytes, caller: Endpoint) -> None:
+            self._receive(service, datagram, caller)
+
+        opened = DatagramSocket(address, receive, self._counters)
+        opened.start(asyncio.get_running_loop())
+        self._sockets.setdefault(service, []).append(opened)
+
+    def listens_on(self, service: ServiceName, address: Endpoint) -> bool:
+        """Return whether an address of a service is already open."""
+        opened = self._sockets.get(service, ())
+        return any(one.address == address for one in opened)
+
+    def start(self, peer_address: Endpoint, parts: ServingParts) -> None:
+        """Listen for the other instances."""
+        self.parts = parts
+        opened = DatagramSocket(peer_address, self._receive_peer, self._counters)
+        opened.start(asyncio.get_running_loop())
+        self._peer_socket = opened
+
+    def close(self) -> None:
+        """Close all sockets and links."""
+        loop = asyncio.get_running_loop()
+        for served in self.served.values():
+            served.task.cancel()
+        for opened in self._all_sockets():
+            opened.close(loop)
+
+    def _all_sockets(self) -> Iterator[DatagramSocket]:
+        for group in self._sockets.values():
+            yield from group
+        if self._peer_socket:
+            yield self._peer_socket
+
+    # The picture of the world
+
+    def set_view(self, view: RoutingView, now_ms: float) -> None:
+        """Route by a new view, and serve the upstreams that it gives us."""
+        catalog = view.catalog
+        if catalog is not self._router.view.catalog:
+            self._sealer.set_keys(dict(catalog.keys))
+            self._set_pools(catalog.pools, now_ms)
+        self._router.view = view
+        owned = {name for name, owner in view.owners.items() if owner == view.own}
+        for name in sorted(owned):
+            self._serve(catalog.upstreams[name], now_ms)
+        for name, served in tuple(self.served.items()):
+            if name not in owned:
+                self._give_up(name, served, now_ms)
+
+    def _set_pools(
+        self,
+        pools: Mapping[ServiceName, tuple[UpstreamRow, ...]],
+        now_ms: float,
+    ) -> None:
+        options = SelectionOptions.from_settings(self._settings.selection)
+        for service, rows in pools.items():
+            selection = self.selections.setdefault(service, Selection(options))
+            selection.set_upstreams(rows, now_ms)
+        for service in tuple(self.selections):
+            if service not in pools:
+                self.selections.pop(service)
+
+    def _serve(self, row: UpstreamRow, now_ms: float) -> None:
+        served = self.served.get(row.name)
+        catalog = self._router.view.catalog
+        if served and served.address == row.address:
+            served.retired_ms = None
+            served.home.set_row(row, catalog, now_ms)
+            served.home.resume_ownership()
+            return
+        if self.parts is None:
+            return
+        if served:
+            served.task.cancel()
+            home = served.home
+            home.set_row(row, catalog, now_ms)
+        else:
+            home = ServedUpstream(row, catalog, self.parts)
+        link = TcpLink(row.address, home, self._link_options, self._counters)
+        home.attach(link)
+        task = asyncio.create_task(link.run())
+        self.served[row.name] = Served(home, task, row.address)
+
+    def _give_up(self, name: UpstreamId, served: Served, now_ms: float) -> None:
+        if served.retired_ms is None:
+            served.retired_ms = now_ms
+            served.home.retire(now_ms)
+        is_old = now_ms - served.retired_ms > RETIRED_LINGER_MS
+        if is_old and served.home.is_drained:
+            served.task.cancel()
+            self.served.pop(name)
+
+    def retire_all(self, now_ms: float) -> None:
+        """Give every upstream up: the instance stops."""
+        for name, served in tuple(self.served.items()):
+            self._give_up(name, served, now_ms)
+
+    @property
+    def is_drained(self) -> bool:
+        """Return whether every request has an ending that its caller has."""
+        return all(
+            served.home.is_drained and served.home.is_acknowledged
+            for served in self.served.values()
+        )
+
+    # Datagrams
+
+    def _receive(
+        self,
+        service: ServiceName,
+        datagram: bytes,
+        caller: Endpoint,
+        forward: Forward | None = None,
+    ) -> None:
+        self._counters.add('packet.received')
+        decoded = codec.decode_packet(datagram)
+        if isinstance(decoded, Failure):
+            self._counters.add(decoded.failure())
+            return
+        packet = decoded.unwrap()
+        upstream = UpstreamId(forward.upstream) if forward else None
+        inbound = Inbound(
+            service=service,
+            packet=packet,
+            datagram=datagram,
+            hops=forward.hops if forward else 0,
+            upstream=upstream or None,
+        )
+        now_ms = time.monotonic() * MS_PER_S
+        match self._router.route(inbound, now_ms, time.time() * MS_PER_S):
+            case Local() as local:
+                forwarder = forward.sender if forward else ''
+                self._serve_local(local, packet, caller, forwarder, now_ms)
+            case Onward() as onward:
+                self._pass_on(onward, inbound, caller, forward)
+            case Answered() as answered:
+                self._answer(service, caller, packet, answered)
+            case Dropped(counter):
+                self._counters.add(counter)
+
+    def _serve_local(
+        self,
+        local: Local,
+        packet: Packet,
+        caller: Endpoint,
+        forwarder: str,
+        now_ms: float,
+    ) -> None:
+        served = self.served.get(local.upstream)
+        if served is None:
+            # The home gave the upstream up long ago; the caller resumes.
+            self._counters.add('packet.not_served')
+            self._answer_gone(local, packet, caller)
+            return
+        arrival = Arrival(
+            packet=packet,
+            cookie=local.cookie,
+            customer=local.customer,
+            caller=caller,
+            flow_key=local.flow_key,
+            forwarder=forwarder,
+        )
+        served.home.handle(arrival, now_ms)
+
+    def _answer_gone(self, local: Local, packet: Packet, caller: Endpoint) -> None:
+        if local.cookie is None:
+            return
+        gone = Answered(
+            Reason.REASON_HOME_GONE,
+            local.flow_key,
+            local.cookie.generation,
+            is_open=False,
+        )
+        self._answer(ServiceName(local.cookie.service), caller, packet, gone)
+
+    def _pass_on(
+        self,
+        onward: Onward,
+        inbound: Inbound,
+        caller: Endpoint,
+        forward: Forward | None,
+    ) -> None:
+        view = self._router.view
+        message = Forward(
+            sender=forward.sender if forward else view.own,
+            sender_incarnation=view.incarnation,
+            service=inbound.service,
+            caller=Address(host=caller.host, port=caller.port),
+            datagram=inbound.datagram,
+            upstream=onward.upstream,
+            hops=inbound.hops + 1,
+        )
+        self._counters.add('packet.forwarded')
+        self._send_peer(onward.instance, PeerDatagram(forward=message))
+
+    def _answer(
+        self,
+        service: ServiceName,
+        caller: Endpoint,
+        packet: Packet,
+        answered: Answered,
+    ) -> None:
+        reply = Packet(flow_id=packet.flow_id, generation=answered.generation)
+        if answered.is_open:
+            self._counters.add('open.refused_at_entrance')
+            reply.refused.CopyFrom(
+                Refused(reason=answered.reason, retry_after_ms=REFUSED_RETRY_MS),
+            )
+        else:
+            self._counters.add('packet.unroutable')
+            reply.reset.CopyFrom(Reset(reason=answered.reason))
+        self._send_datagram(service, caller, reply, answered.flow_key)
+
+    def _send_datagram(
+        self,
+        service: ServiceName,
+        caller: Endpoint,
+        packet: Packet,
+        flow_key: bytes,
+    ) -> None:
+        opened = self._sockets.get(service)
+        if not opened:
+            self._counters.add('packet.no_socket')
+            return
+        opened[0].send(codec.encode_packet(packet, flow_key), caller)
+
+    # Other instances
+
+    def _receive_peer(self, datagram: bytes, _sender: Endpoint) -> None:
+        decoded = codec.decode_peer(datagram, self._cluster_keys)
+        if isinstance(decoded, Failure):
+            self._counters.add(decoded.failure())
+            return
+        message = decoded.unwrap()
+        match message.WhichOneof('body'):
+            case 'forward':
+                self._receive_forward(message.forward)
+            case 'load_notice':
+                notice = message.load_notice
+                self.report_load(
+                    ServiceName(notice.service),
+                    UpstreamId(notice.upstream),
+                    notice.load,
+                )
+            case _:
+                self._counters.add('peer.unexpected')
+
+    def _receive_forward(self, forward: Forward) -> None:
+        service = ServiceName(forward.service)
+        caller = Endpoint(forward.caller.host, forward.caller.port)
+        self._receive(service, forward.datagram, caller, forward)
+
+    def _send_peer(self, to: InstanceId, message: PeerDatagram) -> None:
+        row = self._router.instance_row(to)
+        if row is None or self._peer_socket is None:
+            self._counters.add('peer.unknown_instance')
+            return
+        datagram = codec.encode_peer(message, self._cluster_keys[0])
+        self._peer_socket.send(datagram, row.peer_address)
+
+    def report_load(
+        self,
+        service: ServiceName,
+        upstream: UpstreamId,
+        load: UpstreamLoad,
+    ) -> None:
+        """Take the load of an upstream from the instance that serves it."""
+        selection = self.selections.get(service)
+        if selection:
+            now_ms = time.monotonic() * MS_PER_S
+            selection.report_load(upstream, Load.from_message(load), now_ms)
+
+    def loads(self) -> Iterator[tuple[UpstreamRow, UpstreamLoad]]:
+        """Iterate over the upstreams owned here and their loads."""
+        for served in self.served.values():
+            if served.home.is_owner:
+                yield served.home.row, served.home.load()
+
+    # HomeOutlet
+
+    def send(self, flow: ServedFlow, packet: Packet) -> None:
+        """Send a packet to the flow's caller, with the MAC of the flow."""
+        if not flow.flow_key:
+            self._counters.add('packet.no_flow_key')
+            return
+        self._send_datagram(flow.service, flow.caller, packet, flow.flow_key)
+
+    def send_load(self, forwarder: str, upstream: UpstreamId) -> None:
+        """Tell the load of an upstream to the instance that forwarded an open."""
+        served = self.served.get(upstream)
+        if served is None:
+            return
+        row = served.home.row
+        if forwarder == self._router.view.own:
+            self.report_load(row.service, upstream, served.home.load())
+            return
+        notice = LoadNotice(
+            sender=self._router.view.own,
+            service=row.service,
+            upstream=upstream,
+            load=served.home.load(),
+        )
+        self._send_peer(InstanceId(forwarder), PeerDatagram(load_notice=notice))
+
+    def observe(
+        self,
+        row: UpstreamRow,
+        outcome: Outcome,
+        latency_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Learn how a request at an upstream ended."""
+        selection = self.selections.get(row.service)
+        if selection:
+            selection.observe(row.name, outcome, latency_ms, now_ms)
+
+    # Time
+
+    async def run(self) -> None:
+        """Do what is due until cancelled."""
+        while True:
+            now_ms = time.monotonic() * MS_PER_S
+            self.tick(now_ms)
+            await asyncio.sleep(TICK_MS / MS_PER_S)
+
+    def tick(self, now_ms: float) -> None:
+        """Do what is due now."""
+        for name, served in tuple(self.served.items()):
+            served.home.tick(now_ms)
+            if served.retired_ms is not None:
+                self._give_up(name, served, now_ms)
+        if now_ms >= self._next_report_ms:
+            self._next_report_ms = now_ms + LOAD_REPORT_MS
+            for row, load in self.loads():
+                self.report_load(row.service, row.name, load)
--- /dev/null
+++ b/src/cardamomtiller/entrance.py
@@ -0,0 +1,80 @@
+"""UDP sockets of the service addresses and of the other instances."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from cardamomtiller.counter import Counters
+from cardamomtiller.identity import Endpoint
+
+RECEIVE_BYTES = 4096
+RECEIVE_BUFFER_BYTES = 4 << 20
+# The event loop serves other tasks after at most this many datagrams.
+DATAGRAMS_PER_WAKE = 64
+
+Receiver = Callable[[bytes, Endpoint], None]
+
+
+class DatagramSocket:
+    """
+    A UDP socket that is drained by the event loop.
+
+    Reading the socket directly costs less per datagram than a transport, which
+    returns to the selector after each one.
+    """
+
+    def __init__(
+        self,
+        address: Endpoint,
+        receive: Receiver,
+        counters: Counters,
+    ) -> None:
+        """
+        Bind the socket.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be bound.
+        """
+        self.address = address
+        self._receive = receive
+        self._counters = counters
+        family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            RECEIVE_BUFFER_BYTES,
+        )
+        self._socket.bind(address.as_pair())
+
+    def start(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Begin to receive in an event loop."""
+        loop.add_reader(self._socket.fileno(), self._drain)
+
+    def close(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Stop receiving and close the socket."""
+        loop.remove_reader(self._socket.fileno())
+        self._socket.close()
+
+    def send(self, datagram: bytes, to: Endpoint) -> None:
+        """Send a datagram; one that cannot be sent is counted and lost."""
+        try:
+            self._socket.sendto(datagram, (to.host, to.port))
+        except OSError:
+            self._counters.add('socket.send_failed')
+
+    def _drain(self) -> None:
+        for _ in range(DATAGRAMS_PER_WAKE):
+            try:
+                datagram, pair = self._socket.recvfrom(RECEIVE_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:
+                # An ICMP error of an earlier send; it says nothing about this
+                # socket.
+                self._counters.add('socket.receive_failed')
+                continue
+            self._receive(datagram, Endpoint(pair[0], pair[1]))
--- a/src/cardamomtiller/flowtable.py
+++ b/src/cardamomtiller/flowtable.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from cardamomtiller.admission import Permit
-from cardamomtiller.identity import CustomerId, Endpoint, FlowId
+from cardamomtiller.identity import CustomerId, Endpoint, FlowId, ServiceName
 from cardamomtiller.wire_pb2 import Address, FlowRecord
 
 
@@ -18,6 +18,7 @@
     """
 
     flow: FlowId
+    service: ServiceName
     customer: CustomerId
     caller: Endpoint
     sequence: int
@@ -27,6 +28,8 @@
     is_home: bool = False
     pending_generation: int = 0
     permit: Permit | None = None
+    # Empty for a flow that is only known from the upstream's list.
+    flow_key: bytes = b''
     forwarder: str = ''
 
     def record(self, generation: int) -> FlowRecord:
@@ -50,7 +53,12 @@
         """Return how many flows are known."""
         return len(self.rows)
 
-    def add_listed(self, record: FlowRecord, now_ms: float) -> ServedFlow:
+    def add_listed(
+        self,
+        record: FlowRecord,
+        service: ServiceName,
+        now_ms: float,
+    ) -> ServedFlow:
         """Take a flow from the upstream's list, unless a newer one is known."""
         flow = FlowId(record.flow_id)
         held = self.rows.get(flow)
@@ -58,6 +66,7 @@
             return held
         row = ServedFlow(
             flow=flow,
+            service=service,
             customer=CustomerId(record.customer),
             caller=Endpoint(record.caller.host, record.caller.port),
             sequence=record.sequence,
--- /dev/null
+++ b/src/cardamomtiller/home.py
@@ -0,0 +1,200 @@
+"""What the parts of a home share."""
+
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cardamomtiller.admission import Admission, Permit
+from cardamomtiller.catalog import Catalog
+from cardamomtiller.cookie import CookieSealer
+from cardamomtiller.counter import Counters
+from cardamomtiller.document import UpstreamRow
+from cardamomtiller.flowtable import FlowTable, ServedFlow
+from cardamomtiller.identity import (
+    CustomerId,
+    Endpoint,
+    FlowId,
+    Incarnation,
+    InstanceId,
+    Outcome,
+    ServiceClass,
+    UpstreamId,
+)
+from cardamomtiller.invariant import Invariants
+from cardamomtiller.link import UpstreamLink
+from cardamomtiller.record import DuplicateRecord
+from cardamomtiller.settings_pb2 import Settings
+from cardamomtiller.wire_pb2 import Cookie, Packet, Reason, Reset, UpstreamFrame
+
+
+class HomeOutlet(ABC):
+    """Where packets to callers and observations of upstreams leave."""
+
+    @abstractmethod
+    def send(self, flow: ServedFlow, packet: Packet) -> None:
+        """Send a packet to the flow's caller, with the MAC of the flow."""
+
+    @abstractmethod
+    def send_load(self, forwarder: str, upstream: UpstreamId) -> None:
+        """Tell the load of an upstream to the instance that forwarded an open."""
+
+    @abstractmethod
+    def observe(
+        self,
+        row: UpstreamRow,
+        outcome: Outcome,
+        latency_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Learn how a request at an upstream ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class HomeIdentity:
+    """The instance that serves."""
+
+    instance: InstanceId
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class ServingParts:
+    """What the homes of one instance share."""
+
+    home: HomeIdentity
+    settings: Settings
+    sealer: CookieSealer
+    record: DuplicateRecord
+    admission: Admission
+    outlet: HomeOutlet
+    counters: Counters
+    invariants: Invariants
+    clock_ms: Callable[[], float]
+    generator: random.Random
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """An authenticated packet of a caller and how it came."""
+
+    packet: Packet
+    cookie: Cookie | None
+    customer: CustomerId
+    caller: Endpoint
+    flow_key: bytes
+    forwarder: str = ''
+
+    @property
+    def flow(self) -> FlowId:
+        """Return the flow of the packet."""
+        return FlowId(self.packet.flow_id)
+
+
+class Home:
+    """The upstream that is served, its flows and its link."""
+
+    def __init__(
+        self,
+        row: UpstreamRow,
+        catalog: Catalog,
+        parts: ServingParts,
+    ) -> None:
+        """Start without a link."""
+        self.row = row
+        self.catalog = catalog
+        self.parts = parts
+        self.flows = FlowTable()
+        self.is_owner = True
+        self.incarnation: int = 0
+        self.link: UpstreamLink | None = None
+
+    @property
+    def rows(self) -> dict[FlowId, ServedFlow]:
+        """Return the flows by id."""
+        return self.flows.rows
+
+    @property
+    def settings(self) -> Settings:
+        """Return the settings of the instance."""
+        return self.parts.settings
+
+    @property
+    def is_up(self) -> bool:
+        """Return whether the right upstream is connected."""
+        return self.link is not None and self.link.is_up and self.incarnation > 0
+
+    def send(self, row: ServedFlow, packet: Packet, generation: int = 0) -> None:
+        """Send to a caller; the generation is that of the flow unless given."""
+        packet.flow_id = row.flow
+        packet.generation = generation or row.generation
+        self.parts.outlet.send(row, packet)
+
+    def send_frame(
+        self,
+        frame: UpstreamFrame,
+        service_class: ServiceClass = ServiceClass.URGENT,
+    ) -> bool:
+        """Send to the upstream; return False without a link."""
+        return self.link is not None and self.link.send(frame, service_class)
+
+    def send_cookie(self, row: ServedFlow, packet: Packet, now_ms: float) -> None:
+        """Send a packet with a new cookie of this home."""
+        home = self.parts.home
+        cookie = Cookie(
+            service=self.row.service,
+            upstream=self.row.name,
+            upstream_incarnation=self.incarnation,
+            failure_domain=self.row.domain,
+            customer=row.customer,
+            home=home.instance,
+            home_incarnation=home.incarnation,
+            generation=row.generation,
+            issued_ms=int(now_ms),
+        )
+        try:
+            packet.cookie = self.parts.sealer.seal(row.flow, cookie)
+        except LookupError:
+            self.count('cookie.no_key')
+            return
+        self.send(row, packet)
+
+    def reset_unknown(
+        self,
+        arrival: Arrival,
+        reason: Reason.ValueType,
+        now_ms: float,
+    ) -> None:
+        """Answer a packet whose flow is not served here."""
+        body = arrival.packet.WhichOneof('body')
+        self.count(f'flow.reset.{Reason.Name(reason).lower()}')
+        if body == 'close':
+            return
+        packet = Packet(flow_id=arrival.flow, reset=Reset(reason=reason))
+        if arrival.cookie:
+            packet.generation = arrival.cookie.generation
+        self.parts.outlet.send(self.guest(arrival, now_ms), packet)
+
+    def guest(self, arrival: Arrival, now_ms: float) -> ServedFlow:
+        """Return an entry for a flow that is not in the table."""
+        return ServedFlow(
+            flow=arrival.flow,
+            service=self.row.service,
+            customer=arrival.customer,
+            caller=arrival.caller,
+            sequence=arrival.packet.sequence,
+            generation=0,
+            seen_ms=now_ms,
+            pong_ms=now_ms,
+            flow_key=arrival.flow_key,
+            forwarder=arrival.forwarder,
+        )
+
+    def release(self, permit: Permit | None, now_ms: float) -> None:
+        """Give a permit back, if there is one."""
+        if permit is not None:
+            self.parts.admission.release(permit, now_ms)
+
+    def count(self, name: str) -> None:
+        """Add one to a counter."""
+        self.parts.counters.add(name)
--- a/src/cardamomtiller/link.py
+++ b/src/cardamomtiller/link.py
@@ -156,10 +156,14 @@
             logger.warning('link to {} broke the protocol: {}', self._address, error)
         finally:
             sender.cancel()
-            was_up = self._is_up
-            self._is_up = False
-            if was_up:
-                self._listener.handle_down()
+            was_up = self._lower()
+        return was_up
+
+    def _lower(self) -> bool:
+        was_up = self._is_up
+        self._is_up = False
+        if was_up:
+            self._listener.handle_down()
         return was_up
 
     async def _receive(self, reader: asyncio.StreamReader) -> None:
--- a/src/cardamomtiller/request.py
+++ b/src/cardamomtiller/request.py
@@ -7,6 +7,7 @@
 from cardamomtiller.admission import Permit
 from cardamomtiller.codec import ChunkSender, Reassembly
 from cardamomtiller.identity import CustomerId, RequestKey, ServiceClass
+from cardamomtiller.scheduler import Work
 from cardamomtiller.wire_pb2 import (
     Answer,
     AnswerStatus,
@@ -52,9 +53,11 @@
     body: Reassembly
     permit: Permit | None = None
     state: RequestState = RequestState.RECEIVING
+    work: Work | None = None
     result: Reassembly | None = None
     ending: Ending | None = None
     sender: ChunkSender | None = None
+    run_ms: float = 0
     resends: int = 0
     # Set when a run was lost with the link: it may have been executed.
     is_run_lost: bool = False
@@ -96,6 +99,7 @@
         self.sender = ChunkSender(codec.split_chunks(ending.body))
         self.forget_ms = forget_ms
         self.result = None
+        self.work = None
         self.body = Reassembly(self.body.chunk_count, next_index=self.body.chunk_count)
 
     def answer_chunk(self, index: int) -> Answer:
--- /dev/null
+++ b/src/cardamomtiller/requestserving.py
@@ -0,0 +1,616 @@
+"""Requests of the flows of one upstream, run at most once."""
+
+import heapq
+from collections.abc import Iterator
+
+from returns.result import Failure
+
+from cardamomtiller import codec
+from cardamomtiller.flowtable import ServedFlow
+from cardamomtiller.home import Arrival, Home
+from cardamomtiller.identity import FlowId, Outcome, RequestId, RequestKey, ServiceClass
+from cardamomtiller.link import BODY_CHUNK_BYTES
+from cardamomtiller.record import Verdict
+from cardamomtiller.request import (
+    LARGEST_ANSWER_CHUNKS,
+    Ending,
+    RequestState,
+    ServedRequest,
+)
+from cardamomtiller.retry import RetryBudget, backoff_ms
+from cardamomtiller.scheduler import Options as QueueOptions
+from cardamomtiller.scheduler import Scheduler, Work
+from cardamomtiller.settings_pb2 import Settings
+from cardamomtiller.wire_pb2 import (
+    Answer,
+    AnswerStatus,
+    CancelRun,
+    Cookie,
+    Moved,
+    Packet,
+    Reason,
+    Refresh,
+    Request,
+    RequestAck,
+    RunAnswer,
+    RunRequest,
+    RunShed,
+    UpstreamFrame,
+)
+
+ANSWER_WINDOW_CHUNKS = 32
+ANSWER_RETENTION_MS = 10_000
+LONGEST_RESEND_MS = 1000
+RUNNING_GRACE_MS = 50
+RETRIES_PER_S = 10
+SERVICE_CLASSES = frozenset(member.value for member in ServiceClass)
+
+
+class RequestServer:
+    """Receive, queue, run and answer the requests of one upstream."""
+
+    def __init__(self, home: Home) -> None:
+        """Start without requests."""
+        self.requests: dict[RequestKey, ServedRequest] = {}
+        self._home = home
+        self._timers: list[tuple[float, int, RequestKey]] = []
+        self._timer_number = 0
+        now_ms = home.parts.clock_ms()
+        queue = home.parts.settings.queue
+        options = QueueOptions.from_settings(queue)
+        self.scheduler = Scheduler(options, home.row.slots, now_ms)
+        self._budget = RetryBudget(queue.retry_ratio, RETRIES_PER_S, now_ms)
+
+    @property
+    def is_drained(self) -> bool:
+        """Return whether every request has an ending."""
+        states = {request.state for request in self.requests.values()}
+        return states <= {RequestState.ANSWERED}
+
+    @property
+    def is_acknowledged(self) -> bool:
+        """Return whether every answer has reached its caller."""
+        return all(
+            request.sender is not None and request.sender.is_complete
+            for request in self.requests.values()
+        )
+
+    def retire(self, now_ms: float) -> None:
+        """Fence what has not been started; running work goes on."""
+        for request in tuple(self.requests.values()):
+            if request.state in {RequestState.RECEIVING, RequestState.QUEUED}:
+                self._move_request(request, now_ms)
+
+    def move_flow(self, flow: FlowId, now_ms: float) -> None:
+        """Fence the requests of a flow that have not been started."""
+        for request in tuple(self.requests.values()):
+            if request.key.flow != flow:
+                continue
+            if request.state in {RequestState.RECEIVING, RequestState.QUEUED}:
+                self._move_request(request, now_ms)
+
+    def abandon_flow(self, flow: FlowId, now_ms: float) -> None:
+        """End every request of a flow that is closed."""
+        for request in tuple(self.requests.values()):
+            if request.key.flow == flow:
+                self._abandon(request, now_ms)
+
+    def handle_request(
+        self,
+        row: ServedFlow,
+        arrival: Arrival,
+        now_ms: float,
+    ) -> None:
+        """Take a chunk of a request."""
+        message = arrival.packet.request
+        key = RequestKey(row.flow, RequestId(message.request_id))
+        first_open = RequestId(message.first_open_request_id)
+        self._home.parts.record.finish_below(row.flow, first_open, now_ms)
+        request = self.requests.get(key)
+        if request is None:
+            request = self._begin(row, key, arrival, now_ms)
+        if request is None:
+            return
+        if request.state is RequestState.ANSWERED:
+            self._send_answer(request, now_ms)
+            return
+        if request.state is RequestState.RECEIVING:
+            self._receive(request, message, now_ms)
+        self._acknowledge(row, request)
+
+    def handle_stale(
+        self,
+        row: ServedFlow,
+        arrival: Arrival,
+        now_ms: float,
+    ) -> None:
+        """Let a request that began under an older generation finish here."""
+        self._home.count('packet.stale_generation')
+        packet = arrival.packet
+        cookie = arrival.cookie
+        generation = cookie.generation if cookie else 0
+        match packet.WhichOneof('body'):
+            case 'request':
+                key = RequestKey(row.flow, RequestId(packet.request.request_id))
+            case 'answer_ack':
+                key = RequestKey(row.flow, RequestId(packet.answer_ack.request_id))
+            case _:
+                return
+        request = self.requests.get(key)
+        if request and request.generation == generation:
+            if packet.WhichOneof('body') == 'request':
+                self.handle_request(row, arrival, now_ms)
+            else:
+                self.handle_answer_ack(row, arrival, now_ms)
+        elif request is None and packet.WhichOneof('body') == 'request':
+            self._fence(row, key, generation, now_ms)
+
+    def _fence(
+        self,
+        row: ServedFlow,
+        key: RequestKey,
+        generation: int,
+        now_ms: float,
+    ) -> None:
+        """Answer ``Moved`` for a request that has not been started here."""
+        if self._home.parts.record.fence(key, generation, now_ms):
+            self._home.count('request.moved')
+            moved = Moved(request_id=key.request)
+            self._home.send(row, Packet(moved=moved), generation)
+
+    def _begin(
+        self,
+        row: ServedFlow,
+        key: RequestKey,
+        arrival: Arrival,
+        now_ms: float,
+    ) -> ServedRequest | None:
+        message = arrival.packet.request
+        if not _is_sound(message, self._home.settings):
+            self._home.count('request.malformed')
+            return None
+        verdict = self._home.parts.record.look_up(key, row.generation)
+        if verdict is Verdict.FINISHED or verdict is Verdict.ANSWERED:
+            self._home.count('request.duplicate_of_finished')
+            return None
+        if verdict is Verdict.FENCED or not self._home.is_owner:
+            self._fence(row, key, row.generation, now_ms)
+            return None
+        if verdict is Verdict.NEW and self._is_too_old(arrival.cookie, now_ms):
+            self._home.count('request.refreshed')
+            refresh = Refresh(request_id=key.request)
+            self._home.send_cookie(row, Packet(refresh=refresh), now_ms)
+            return None
+        self._home.parts.record.begin(key, row.generation, now_ms)
+        return self._admit(row, key, message, now_ms)
+
+    def _is_too_old(self, cookie: Cookie | None, now_ms: float) -> bool:
+        lifetime_ms = self._home.settings.flow.cookie_lifetime_ms
+        return cookie is None or now_ms - cookie.issued_ms > lifetime_ms
+
+    def _admit(
+        self,
+        row: ServedFlow,
+        key: RequestKey,
+        message: Request,
+        now_ms: float,
+    ) -> ServedRequest:
+        longest_ms = self._home.settings.flow.longest_timeout_ms
+        request = ServedRequest.begin(
+            key,
+            row.generation,
+            row.customer,
+            message,
+            now_ms,
+        )
+        request.deadline_ms = now_ms + min(message.timeout_ms, longest_ms)
+        self.requests[key] = request
+        self._schedule(request, request.deadline_ms)
+        self._home.count('request.begun')
+        self._budget.deposit(now_ms)
+        admitted = self._home.parts.admission.admit_request(
+            row.customer,
+            message.total_bytes,
+            now_ms,
+        )
+        if isinstance(admitted, Failure):
+            refusal = admitted.failure()
+            self._end(request, _not_run(refusal.reason, refusal.retry_after_ms), now_ms)
+        else:
+            request.permit = admitted.unwrap()
+        return request
+
+    def _receive(self, request: ServedRequest, message: Request, now_ms: float) -> None:
+        request.body.add(message.chunk_index, message.payload)
+        if not request.body.is_complete:
+            return
+        body = request.body.body()
+        if len(body) != request.total_bytes:
+            self._home.count('request.malformed')
+            self._end(request, _not_run(Reason.REASON_TOO_LARGE, 0), now_ms)
+            return
+        plan = self._home.catalog.plan_of(request.customer)
+        work = Work(
+            request=request.key,
+            customer=request.customer,
+            service_class=request.service_class,
+            size_bytes=len(body),
+            deadline_ms=request.deadline_ms,
+            weight=plan.weight if plan else 1,
+            is_idempotent=request.is_idempotent,
+            payload=body,
+        )
+        request.work = work
+        submitted = self.scheduler.submit(work, now_ms)
+        if isinstance(submitted, Failure):
+            refusal = submitted.failure()
+            ending = _not_run(refusal.reason, refusal.retry_after_ms)
+            self._end(request, ending, now_ms)
+            return
+        request.state = RequestState.QUEUED
+        self.start_work(now_ms)
+
+    def _acknowledge(self, row: ServedFlow, request: ServedRequest) -> None:
+        ack = RequestAck(
+            request_id=request.key.request,
+            next_chunk_index=request.body.next_index,
+            received_bitmap=request.body.bitmap(),
+        )
+        self._home.send(row, Packet(request_ack=ack), request.generation)
+
+    def start_work(self, now_ms: float) -> None:
+        """Send the work that the scheduler has slots for."""
+        if not self._home.is_up or not self._home.is_owner:
+            return
+        for work in self.scheduler.start(now_ms):
+            self._run(work, now_ms)
+
+    def _run(self, work: Work, now_ms: float) -> None:
+        request = self.requests.get(work.request)
+        row = self._home.rows.get(work.request.flow)
+        # The clock is read again: the process may have been paused since now_ms.
+        fresh_ms = max(now_ms, self._home.parts.clock_ms())
+        if request is None or request.state is not RequestState.QUEUED:
+            self.scheduler.finish(work.request, Outcome.CANCELLED, fresh_ms)
+            return
+        if row is None or not row.is_home or fresh_ms >= request.deadline_ms:
+            self.scheduler.finish(work.request, Outcome.CANCELLED, fresh_ms)
+            reason = Reason.REASON_DEADLINE_EXCEEDED
+            self._end(request, _not_run(reason, 0), fresh_ms)
+            return
+        self._check_run(request)
+        request.state = RequestState.RUNNING
+        request.run_ms = fresh_ms
+        self._home.count('request.run')
+        self._home.parts.counters.time_ms('request.wait', fresh_ms - request.begun_ms)
+        for frame in _run_frames(request, row, work, fresh_ms):
+            self._home.send_frame(
+                UpstreamFrame(run_request=frame), request.service_class
+            )
+
+    def _check_run(self, request: ServedRequest) -> None:
+        invariants = self._home.parts.invariants
+        verdict = self._home.parts.record.look_up(request.key, request.generation)
+        invariants.check(
+            'run_is_recorded',
+            verdict is Verdict.RUNNING,
+            f'request {request.key.request} runs while the record says {verdict}',
+        )
+        published = self._home.catalog.upstreams.get(self._home.row.name)
+        invariants.check(
+            'upstream_of_service',
+            published is None or published.service == self._home.row.service,
+            f'upstream {self._home.row.name} serves another service',
+        )
+
+    def handle_shed(self, message: RunShed, now_ms: float) -> None:
+        """Learn that the upstream did not run a request."""
+        key = RequestKey(FlowId(message.flow_id), RequestId(message.request_id))
+        request = self.requests.get(key)
+        if request is None or request.state is not RequestState.RUNNING:
+            return
+        self._home.count('request.shed')
+        if message.reason == Reason.REASON_STALE_GENERATION:
+            self.scheduler.finish(key, Outcome.CANCELLED, now_ms)
+            self._move_request(request, now_ms)
+            return
+        if message.reason == Reason.REASON_CANCELLED:
+            self.scheduler.finish(key, Outcome.CANCELLED, now_ms)
+            self._end(request, _not_run(Reason.REASON_CANCELLED, 0), now_ms)
+            return
+        self._retry_shed(request, message, now_ms)
+
+    def _retry_shed(
+        self,
+        request: ServedRequest,
+        message: RunShed,
+        now_ms: float,
+    ) -> None:
+        self._finish_run(request, Outcome.SHED, now_ms)
+        wait_ms = backoff_ms(
+            request.resends,
+            self._home.parts.generator,
+            message.retry_after_ms,
+        )
+        request.resends += 1
+        due_ms = now_ms + wait_ms
+        can_retry = (
+            self._home.is_owner
+            and due_ms < request.deadline_ms
+            and self._budget.withdraw(now_ms)
+        )
+        if request.work is not None and can_retry:
+            request.state = RequestState.QUEUED
+            self._home.count('request.retried')
+            self.scheduler.requeue(request.work, due_ms)
+            return
+        ending = _not_run(Reason.REASON_SHED, message.retry_after_ms)
+        self._end(request, ending, now_ms)
+
+    def _finish_run(
+        self,
+        request: ServedRequest,
+        outcome: Outcome,
+        now_ms: float,
+    ) -> None:
+        self.scheduler.finish(request.key, outcome, now_ms)
+        took_ms = now_ms - request.run_ms
+        self._home.parts.outlet.observe(self._home.row, outcome, took_ms, now_ms)
+
+    def handle_cancel(
+        self,
+        row: ServedFlow,
+        arrival: Arrival,
+        now_ms: float,
+    ) -> None:
+        """Withdraw a request."""
+        key = RequestKey(row.flow, RequestId(arrival.packet.cancel.request_id))
+        request = self.requests.get(key)
+        if request is None:
+            self._cancel_unseen(row, key, now_ms)
+            return
+        self._home.count('request.cancelled')
+        self._abandon(request, now_ms)
+
+    def _cancel_unseen(self, row: ServedFlow, key: RequestKey, now_ms: float) -> None:
+        # The fence keeps a later copy of the request from being started.
+        if not self._home.parts.record.fence(key, row.generation, now_ms):
+            return
+        answer = Answer(
+            request_id=key.request,
+            status=AnswerStatus.ANSWER_STATUS_NOT_RUN,
+            reason=Reason.REASON_CANCELLED,
+            chunk_count=1,
+        )
+        self._home.send(row, Packet(answer=answer))
+
+    def _abandon(self, request: ServedRequest, now_ms: float) -> None:
+        ending = _not_run(Reason.REASON_CANCELLED, 0)
+        if request.state is RequestState.RUNNING:
+            self._cancel_run(request, now_ms)
+            status = AnswerStatus.ANSWER_STATUS_UNKNOWN
+            ending = Ending(status, Reason.REASON_CANCELLED)
+        elif request.state is RequestState.QUEUED:
+            self.scheduler.cancel(request.key, now_ms)
+        if request.state is not RequestState.ANSWERED:
+            self._end(request, ending, now_ms)
+
+    def _cancel_run(self, request: ServedRequest, now_ms: float) -> None:
+        self.scheduler.finish(request.key, Outcome.CANCELLED, now_ms)
+        cancel = CancelRun(flow_id=request.key.flow, request_id=request.key.request)
+        # Same class as the request, so that it does not overtake its chunks.
+        self._home.send_frame(UpstreamFrame(cancel_run=cancel), request.service_class)
+
+    def _move_request(self, request: ServedRequest, now_ms: float) -> None:
+        if request.state is RequestState.QUEUED:
+            self.scheduler.cancel(request.key, now_ms)
+        self._home.parts.record.fence_queued(request.key, request.generation, now_ms)
+        self._home.release(request.permit, now_ms)
+        self.requests.pop(request.key, None)
+        self._home.count('request.moved')
+        row = self._home.rows.get(request.key.flow)
+        if row:
+            moved = Moved(request_id=request.key.request)
+            self._home.send(row, Packet(moved=moved), request.generation)
+
+    def handle_run_answer(self, message: RunAnswer, now_ms: float) -> None:
+        """Take a chunk of the upstream's answer."""
+        key = RequestKey(FlowId(message.flow_id), RequestId(message.request_id))
+        request = self.requests.get(key)
+        if request is None or request.state is not RequestState.RUNNING:
+            self._home.count('answer.late')
+            return
+        if not 0 < message.chunk_count <= LARGEST_ANSWER_CHUNKS:
+            self._home.count('answer.malformed')
+            return
+        if not request.add_result(message) or request.result is None:
+            return
+        body = request.result.body()
+        self._finish_run(request, Outcome.DONE, now_ms)
+        status = AnswerStatus.ANSWER_STATUS_DONE
+        self._end(request, Ending(status, body=body), now_ms)
+
+    def _end(self, request: ServedRequest, ending: Ending, now_ms: float) -> None:
+        if request.state is RequestState.ANSWERED:
+            return
+        is_not_run = ending.status == AnswerStatus.ANSWER_STATUS_NOT_RUN
+        if is_not_run and request.is_run_lost:
+            ending = Ending(AnswerStatus.ANSWER_STATUS_UNKNOWN, ending.reason)
+        status = AnswerStatus.Name(ending.status).removeprefix('ANSWER_STATUS_')
+        self._home.count(f'request.{status.lower()}')
+        self._count_objective(request, ending, now_ms)
+        request.end(ending, now_ms + ANSWER_RETENTION_MS)
+        request.resends = 0
+        self._home.release(request.permit, now_ms)
+        request.permit = None
+        self._home.parts.record.answer(request.key, request.generation, now_ms)
+        self._send_answer(request, now_ms)
+        self._schedule_resend(request, now_ms)
+        self.start_work(now_ms)
+
+    def _count_objective(
+        self, request: ServedRequest, ending: Ending, now_ms: float
+    ) -> None:
+        service = self._home.row.service
+        objective = self._home.catalog.objectives.get((service, request.service_class))
+        took_ms = now_ms - request.begun_ms
+        self._home.parts.counters.time_ms(f'request.took.{service}', took_ms)
+        if objective is None or ending.reason == Reason.REASON_CANCELLED:
+            return
+        # Refusals over the customer's own plan say nothing about the service.
+        if ending.reason == Reason.REASON_OVER_ALLOWANCE:
+            return
+        is_done = ending.status == AnswerStatus.ANSWER_STATUS_DONE
+        is_good = is_done and took_ms <= objective.latency_ms
+        name = request.service_class.name.lower()
+        event = 'good' if is_good else 'bad'
+        self._home.count(f'sli.{service}.{request.customer}.{name}.{event}')
+
+    def _send_answer(self, request: ServedRequest, now_ms: float) -> None:
+        row = self._home.rows.get(request.key.flow)
+        if row is None or request.sender is None:
+            return
+        for index in tuple(request.sender.missing(ANSWER_WINDOW_CHUNKS)):
+            answer = request.answer_chunk(index)
+            self._home.send(row, Packet(answer=answer), request.generation)
+
+    def handle_answer_ack(
+        self,
+        row: ServedFlow,
+        arrival: Arrival,
+        now_ms: float,
+    ) -> None:
+        """Learn which chunks of an answer have arrived."""
+        message = arrival.packet.answer_ack
+        request = self.requests.get(
+            RequestKey(row.flow, RequestId(message.request_id)),
+        )
+        if request is None or request.sender is None:
+            return
+        before = request.sender.next_index
+        request.sender.acknowledge(message.next_chunk_index, message.received_bitmap)
+        if request.sender.is_complete:
+            self.requests.pop(request.key, None)
+        elif request.sender.next_index > before:
+            self._send_answer_from(row, request, before + ANSWER_WINDOW_CHUNKS)
+
+    def _send_answer_from(
+        self,
+        row: ServedFlow,
+        request: ServedRequest,
+        start: int,
+    ) -> None:
+        if request.sender is None:
+            return
+        for index in tuple(request.sender.missing(ANSWER_WINDOW_CHUNKS)):
+            if index >= start:
+                answer = request.answer_chunk(index)
+                self._home.send(row, Packet(answer=answer), request.generation)
+
+    def handle_down(self, now_ms: float) -> None:
+        """Learn that the link is gone: running requests may have been executed."""
+        for request in tuple(self.requests.values()):
+            if request.state is RequestState.RUNNING:
+                self._lose_run(request, now_ms)
+
+    def _lose_run(self, request: ServedRequest, now_ms: float) -> None:
+        self._finish_run(request, Outcome.FAILED, now_ms)
+        request.result = None
+        request.is_run_lost = True
+        if request.is_idempotent and request.work and self._home.is_owner:
+            request.state = RequestState.QUEUED
+            self.scheduler.requeue(request.work, now_ms)
+            return
+        status = AnswerStatus.ANSWER_STATUS_UNKNOWN
+        self._end(request, Ending(status, Reason.REASON_LINK_LOST), now_ms)
+
+    def tick(self, now_ms: float) -> None:
+        """Do what is due: expiry, resends, deadlines, new work."""
+        for work in tuple(self.scheduler.expire(now_ms)):
+            request = self.requests.get(work.request)
+            if request and request.state is RequestState.QUEUED:
+                reason = Reason.REASON_DEADLINE_EXCEEDED
+                self._end(request, _not_run(reason, 0), now_ms)
+        self._fire_timers(now_ms)
+        self.start_work(now_ms)
+
+    def _fire_timers(self, now_ms: float) -> None:
+        while self._timers and self._timers[0][0] <= now_ms:
+            _due_ms, _number, key = heapq.heappop(self._timers)
+            request = self.requests.get(key)
+            if request is not None:
+                self._fire(request, now_ms)
+
+    def _fire(self, request: ServedRequest, now_ms: float) -> None:
+        if request.state is RequestState.ANSWERED:
+            if now_ms >= request.forget_ms:
+                self.requests.pop(request.key, None)
+                self._home.count('answer.unacknowledged')
+                return
+            self._send_answer(request, now_ms)
+            request.resends += 1
+            self._schedule_resend(request, now_ms)
+        elif now_ms < request.deadline_ms:
+            self._schedule(request, request.deadline_ms)
+        elif request.state is RequestState.RUNNING:
+            self._expire_run(request, now_ms)
+        else:
+            self.scheduler.cancel(request.key, now_ms)
+            reason = Reason.REASON_DEADLINE_EXCEEDED
+            self._end(request, _not_run(reason, 0), now_ms)
+
+    def _expire_run(self, request: ServedRequest, now_ms: float) -> None:
+        # The upstream stops at the deadline by itself; its answer may be on the
+        # way.
+        if now_ms < request.deadline_ms + RUNNING_GRACE_MS:
+            self._schedule(request, request.deadline_ms + RUNNING_GRACE_MS)
+            return
+        self._cancel_run(request, now_ms)
+        status = AnswerStatus.ANSWER_STATUS_UNKNOWN
+        reason = Reason.REASON_DEADLINE_EXCEEDED
+        self._end(request, Ending(status, reason), now_ms)
+
+    def _schedule_resend(self, request: ServedRequest, now_ms: float) -> None:
+        wait_ms = self._home.settings.flow.resend_ms * 2**request.resends
+        self._schedule(request, now_ms + min(wait_ms, LONGEST_RESEND_MS))
+
+    def _schedule(self, request: ServedRequest, due_ms: float) -> None:
+        self._timer_number += 1
+        heapq.heappush(self._timers, (due_ms, self._timer_number, request.key))
+
+
+def _not_run(reason: Reason.ValueType, retry_after_ms: float) -> Ending:
+    return Ending(AnswerStatus.ANSWER_STATUS_NOT_RUN, reason, retry_after_ms)
+
+
+def _is_sound(message: Request, settings: Settings) -> bool:
+    largest = settings.flow.largest_request_bytes
+    expected = max(1, -(-message.total_bytes // codec.CHUNK_BYTES))
+    return (
+        message.total_bytes <= largest
+        and message.chunk_count == expected
+        and message.chunk_index < message.chunk_count
+        and message.service_class in SERVICE_CLASSES
+    )
+
+
+def _run_frames(
+    request: ServedRequest,
+    row: ServedFlow,
+    work: Work,
+    now_ms: float,
+) -> Iterator[RunRequest]:
+    body = work.payload if isinstance(work.payload, bytes) else b''
+    starts = range(0, max(len(body), 1), BODY_CHUNK_BYTES)
+    for index, start in enumerate(starts):
+        yield RunRequest(
+            flow_id=request.key.flow,
+            generation=row.generation,
+            request_id=request.key.request,
+            timeout_ms=max(1, int(request.deadline_ms - now_ms)),
+            chunk_index=index,
+            chunk_count=len(starts),
+            payload=body[start : start + BODY_CHUNK_BYTES],
+            is_idempotent=request.is_idempotent,
+            service_class=codec.wire_class(request.service_class),
+        )
--- /dev/null
+++ b/src/cardamomtiller/routing.py
@@ -0,0 +1,259 @@
+"""Decide where a caller's datagram goes."""
+
+from abc import ABC, abstractmethod
+from collections import OrderedDict
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+from returns.result import Failure
+
+from cardamomtiller import codec
+from cardamomtiller.catalog import Catalog
+from cardamomtiller.cookie import CookieSealer
+from cardamomtiller.document import InstanceRow, UpstreamRow
+from cardamomtiller.identity import (
+    CustomerId,
+    FlowId,
+    Incarnation,
+    InstanceId,
+    ServiceName,
+    UpstreamId,
+)
+from cardamomtiller.selection import Selection
+from cardamomtiller.wire_pb2 import Cookie, Packet, Reason
+
+LARGEST_HOPS = 2
+FLOW_KEYS_CACHED = 50_000
+
+_FROM_CALLER = frozenset(
+    ('open', 'request', 'answer_ack', 'push_ack', 'keepalive', 'cancel', 'close'),
+)
+
+
+class HomeView(ABC):
+    """What routing needs to know of the other instances."""
+
+    @abstractmethod
+    def is_home_alive(self, instance: InstanceId, incarnation: Incarnation) -> bool:
+        """Return whether this incarnation of an instance is not known dead."""
+
+
+@dataclass(frozen=True, slots=True)
+class Local:
+    """Serve the packet on this instance."""
+
+    upstream: UpstreamId
+    cookie: Cookie | None
+    customer: CustomerId
+    flow_key: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Onward:
+    """Hand the datagram to another instance."""
+
+    instance: InstanceId
+    upstream: UpstreamId
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """Tell the caller at once that the packet cannot be routed."""
+
+    reason: Reason.ValueType
+    flow_key: bytes
+    generation: int
+    is_open: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Dropped:
+    """Count the packet and drop it."""
+
+    counter: str
+
+
+Route = Local | Onward | Answered | Dropped
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingView:
+    """Immutable picture of the world by which packets are routed."""
+
+    own: InstanceId
+    incarnation: Incarnation
+    catalog: Catalog
+    homes: HomeView
+    owners: Mapping[UpstreamId, InstanceId] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Inbound:
+    """A decoded packet and the service of the address it arrived on."""
+
+    service: ServiceName
+    packet: Packet
+    datagram: bytes
+    hops: int = 0
+    upstream: UpstreamId | None = None
+
+
+class FlowKeys:
+    """Derive and cache the keys of flows."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._cache: OrderedDict[tuple[bytes, FlowId], bytes] = OrderedDict()
+
+    def get(self, secret: bytes, flow: FlowId) -> bytes:
+        """Return the key of a flow under a customer's secret."""
+        known = self._cache.get((secret, flow))
+        if known is None:
+            known = codec.derive_flow_key(secret, flow)
+            self._cache[(secret, flow)] = known
+            if len(self._cache) > FLOW_KEYS_CACHED:
+                self._cache.popitem(last=False)
+        return known
+
+    def keys_of(
+        self,
+        catalog: Catalog,
+        customer: CustomerId,
+        flow: FlowId,
+    ) -> Iterator[bytes]:
+        """Iterate over the keys under each accepted secret of a customer."""
+        row = catalog.customers.get(customer)
+        if row is not None:
+            for secret in row.secrets:
+                yield self.get(secret, flow)
+
+
+class Router:
+    """Route packets by their cookie, without a table of flows."""
+
+    def __init__(
+        self,
+        view: RoutingView,
+        sealer: CookieSealer,
+        flow_keys: FlowKeys,
+        selections: Mapping[ServiceName, Selection],
+        open_skew_ms: float,
+    ) -> None:
+        """Take the first view; ``view`` is replaced as the world changes."""
+        self.view = view
+        self.selections = selections
+        self._sealer = sealer
+        self._flow_keys = flow_keys
+        self._open_skew_ms = open_skew_ms
+
+    def instance_row(self, instance: InstanceId) -> InstanceRow | None:
+        """Return the published row of an instance."""
+        return self.view.catalog.instances.get(instance)
+
+    def route(self, inbound: Inbound, now_ms: float, unix_ms: float) -> Route:
+        """
+        Return what to do with a packet.
+
+        Parameters
+        ----------
+        inbound
+            The packet; its MAC is checked here.
+        now_ms
+            Monotonic time in milliseconds.
+        unix_ms
+            Wall clock in milliseconds, only compared with an open's time stamp.
+        """
+        body = inbound.packet.WhichOneof('body')
+        if body not in _FROM_CALLER:
+            return Dropped('packet.unexpected')
+        if body == 'open' and not inbound.packet.open.is_resume:
+            return self._route_open(inbound, now_ms, unix_ms)
+        opened = self._sealer.open(
+            FlowId(inbound.packet.flow_id),
+            inbound.packet.cookie,
+        )
+        if isinstance(opened, Failure):
+            return Dropped(opened.failure())
+        return self._route_cookie(inbound, opened.unwrap())
+
+    def _route_open(self, inbound: Inbound, now_ms: float, unix_ms: float) -> Route:
+        message = inbound.packet.open
+        flow = FlowId(inbound.packet.flow_id)
+        customer = CustomerId(message.customer)
+        if customer not in self.view.catalog.customers:
+            return _answer(Reason.REASON_UNKNOWN_CUSTOMER, codec.PUBLIC_KEY)
+        flow_key = self._authenticate(inbound, customer)
+        if flow_key is None:
+            return Dropped('packet.forged')
+        if abs(unix_ms - message.sent_unix_ms) > self._open_skew_ms:
+            return _answer(Reason.REASON_CLOCK_SKEW, flow_key)
+        upstream = inbound.upstream
+        if upstream is None:
+            selection = self.selections.get(inbound.service)
+            if selection is None:
+                return _answer(Reason.REASON_NO_UPSTREAM, flow_key)
+            upstream = selection.choose(flow, frozenset(), now_ms)
+        row = self._upstream_row(inbound.service, upstream)
+        if row is None:
+            return _answer(Reason.REASON_NO_UPSTREAM, flow_key)
+        return self._route_to_owner(inbound, Local(row.name, None, customer, flow_key))
+
+    def _route_cookie(self, inbound: Inbound, cookie: Cookie) -> Route:
+        customer = CustomerId(cookie.customer)
+        if cookie.service != inbound.service:
+            return Dropped('packet.wrong_service')
+        flow_key = self._authenticate(inbound, customer)
+        if flow_key is None:
+            return Dropped('packet.forged')
+        is_open = inbound.packet.WhichOneof('body') == 'open'
+        row = self._upstream_row(inbound.service, UpstreamId(cookie.upstream))
+        if row is None:
+            reason = Reason.REASON_UPSTREAM_GONE
+            return Answered(reason, flow_key, cookie.generation, is_open=False)
+        local = Local(row.name, cookie, customer, flow_key)
+        if is_open:
+            return self._route_to_owner(inbound, local)
+        home = InstanceId(cookie.home)
+        incarnation = Incarnation(cookie.home_incarnation)
+        if home == self.view.own and incarnation == self.view.incarnation:
+            return local
+        if home == self.view.own or not self.view.homes.is_home_alive(
+            home,
+            incarnation,
+        ):
+            reason = Reason.REASON_HOME_GONE
+            return Answered(reason, flow_key, cookie.generation, is_open=False)
+        if inbound.hops >= LARGEST_HOPS:
+            return Dropped('packet.too_many_hops')
+        return Onward(home, row.name)
+
+    def _route_to_owner(self, inbound: Inbound, local: Local) -> Route:
+        owner = self.view.owners.get(local.upstream)
+        if owner is None:
+            return _answer(Reason.REASON_NO_UPSTREAM, local.flow_key)
+        if owner == self.view.own:
+            return local
+        if inbound.hops >= LARGEST_HOPS:
+            return Dropped('packet.too_many_hops')
+        return Onward(owner, local.upstream)
+
+    def _upstream_row(
+        self,
+        service: ServiceName,
+        upstream: UpstreamId | None,
+    ) -> UpstreamRow | None:
+        if upstream is None:
+            return None
+        row = self.view.catalog.upstreams.get(upstream)
+        if row is None or row.service != service:
+            return None
+        return row
+
+    def _authenticate(self, inbound: Inbound, customer: CustomerId) -> bytes | None:
+        flow = FlowId(inbound.packet.flow_id)
+        keys = self._flow_keys.keys_of(self.view.catalog, customer, flow)
+        return codec.matching_key(inbound.datagram, keys)
+
+
+def _answer(reason: Reason.ValueType, flow_key: bytes) -> Answered:
+    return Answered(reason, flow_key, generation=0, is_open=True)
