--- /dev/null
+++ b/src/cardamomtiller/log.py
@@ -0,0 +1,65 @@
+"""Set-up of log lines: form and level."""
+
+import json
+import sys
+from enum import Enum
+from typing import TYPE_CHECKING, TextIO
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from loguru import Record
+
+HUMAN_FORMAT = (
+    '{time:YYYY-MM-DD HH:mm:ss.SSS} {level: <7} {module}: {message}{exception}\n'
+)
+
+
+class LogFormat(Enum):
+    """Form of log lines."""
+
+    HUMAN = 'human'
+    JSON = 'json'
+
+
+def set_up_log(form: LogFormat, level: str, instance: str, sink: TextIO) -> None:
+    """
+    Replace every log handler by one that writes to ``sink``.
+
+    Parameters
+    ----------
+    form
+        Text for people, or one JSON object a line.
+    level
+        Lowest level that is written: DEBUG, INFO, WARNING or ERROR.
+    instance
+        Name of this instance, a field of each JSON line.
+    sink
+        Stream, usually standard error; log lines never go to a file.
+    """
+    logger.remove()
+    logger.configure(extra={'instance': instance})
+    pattern = _write_json if form is LogFormat.JSON else HUMAN_FORMAT
+    # Without diagnose, a traceback cannot show secrets held in local variables.
+    logger.add(sink, level=level, format=pattern, diagnose=False, colorize=False)
+
+
+def set_up_command_log() -> None:
+    """Write warnings and errors of a command to standard error."""
+    set_up_log(LogFormat.HUMAN, 'WARNING', '', sys.stderr)
+
+
+def _write_json(record: 'Record') -> str:
+    row = {
+        'time': record['time'].isoformat(timespec='milliseconds'),
+        'level': record['level'].name,
+        'module': record['module'],
+        'message': record['message'],
+        **record['extra'],
+    }
+    error = record['exception']
+    if error is not None:
+        row['error'] = repr(error.value)
+    # loguru formats the returned text once more with the record.
+    record['extra'] = {'line': json.dumps(row, ensure_ascii=False, default=str)}
+    return '{extra[line]}\n'
--- /dev/null
+++ b/src/cardamomtiller/relay.py
@@ -0,0 +1,519 @@
+"""Plain TCP entrance: relays each connection to an upstream of its service."""
+
+import asyncio
+import contextlib
+import hashlib
+import socket
+import struct
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from loguru import logger
+
+from cardamomtiller import ini
+from cardamomtiller.catalog import Catalog
+from cardamomtiller.counter import Counters
+from cardamomtiller.document import UpstreamRow
+from cardamomtiller.finding import Finding, Findings, Place
+from cardamomtiller.identity import (
+    MS_PER_S,
+    CustomerId,
+    Endpoint,
+    InstanceId,
+    OperatorState,
+    ServiceName,
+    UpstreamId,
+)
+from cardamomtiller.settings_pb2 import Settings
+
+BACKLOG = 512
+# A caller gives up after a few seconds, so more attempts would connect for nobody.
+CONNECT_ATTEMPTS = 4
+# Time for which an upstream that refused a connection is chosen last.
+AVOIDANCE_MS = 2000
+# Without file descriptors, accepting again at once would only spin.
+ACCEPT_PAUSE_MS = 100
+LINGER_RESET = struct.pack('ii', 1, 0)
+
+
+class StreamLimit(ABC):
+    """Limit on the plain TCP connections of a customer."""
+
+    @abstractmethod
+    def admit(self, customer: CustomerId, now_ms: float) -> bool:
+        """Return whether one more connection is within the allowance."""
+
+    @abstractmethod
+    def release(self, customer: CustomerId, now_ms: float) -> None:
+        """Return an admitted connection."""
+
+
+class StreamChooser(ABC):
+    """Choice of an upstream for a new connection."""
+
+    @abstractmethod
+    def choose(
+        self,
+        service: ServiceName,
+        exclude: frozenset[UpstreamId],
+        now_ms: float,
+    ) -> UpstreamRow | None:
+        """Return an upstream of the service outside ``exclude``, or None."""
+
+    @abstractmethod
+    def opened(self, upstream: UpstreamId) -> None:
+        """Learn that a connection to an upstream is open."""
+
+    @abstractmethod
+    def closed(self, upstream: UpstreamId) -> None:
+        """Learn that a connection to an upstream has ended."""
+
+    @abstractmethod
+    def connect_failed(self, upstream: UpstreamId, now_ms: float) -> None:
+        """Learn that an upstream could not be connected to."""
+
+
+class FewestConnections(StreamChooser):
+    """
+    Choose the upstream with the fewest connections relayed by this instance.
+
+    Ties are broken by a hash of the names of instance and upstream, so that
+    instances with few connections do not all prefer the same upstream.
+    """
+
+    def __init__(self, catalog: Callable[[], Catalog], instance: InstanceId) -> None:
+        """Start without connections."""
+        self._catalog = catalog
+        self._instance = instance
+        self._open: dict[UpstreamId, int] = {}
+        self._avoid_until_ms: dict[UpstreamId, float] = {}
+
+    def choose(
+        self,
+        service: ServiceName,
+        exclude: frozenset[UpstreamId],
+        now_ms: float,
+    ) -> UpstreamRow | None:
+        """Return the upstream with the fewest connections, or None."""
+        rows = (
+            row
+            for row in self._catalog().pools.get(service, ())
+            if row.stream_address is not None
+            and row.state is not OperatorState.LEAVING
+            and row.name not in exclude
+        )
+        return min(rows, key=lambda row: self._rank(row.name, now_ms), default=None)
+
+    def opened(self, upstream: UpstreamId) -> None:
+        """Count a connection."""
+        self._open[upstream] = self._open.get(upstream, 0) + 1
+        self._avoid_until_ms.pop(upstream, None)
+
+    def closed(self, upstream: UpstreamId) -> None:
+        """Forget a connection."""
+        remaining = self._open.pop(upstream, 0) - 1
+        if remaining > 0:
+            self._open[upstream] = remaining
+
+    def connect_failed(self, upstream: UpstreamId, now_ms: float) -> None:
+        """Choose this upstream last for a while."""
+        self._avoid_until_ms[upstream] = now_ms + AVOIDANCE_MS
+
+    def _rank(self, upstream: UpstreamId, now_ms: float) -> tuple[bool, int, bytes]:
+        is_avoided = self._avoid_until_ms.get(upstream, 0) > now_ms
+        names = f'{self._instance} {upstream}'.encode()
+        tie = hashlib.blake2b(names, digest_size=8).digest()
+        return (is_avoided, self._open.get(upstream, 0), tie)
+
+
+@dataclass(frozen=True, slots=True)
+class RelayOptions:
+    """Limits of the plain TCP entrance."""
+
+    connect_timeout_ms: float
+    idle_timeout_ms: float
+    buffer_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class RelayStop:
+    """Result of a graceful stop."""
+
+    finished: int
+    cut: int
+
+
+class _Side(Enum):
+    CALLER = 'caller'
+    UPSTREAM = 'upstream'
+
+
+class _SideResetError(Exception):
+    """One end of a relayed connection was reset."""
+
+    def __init__(self, side: _Side) -> None:
+        super().__init__(side.value)
+        self.side = side
+
+
+class Relay:
+    """
+    Accept plain TCP connections and relay each to an upstream of its service.
+
+    Every connection has its own task. A connection that cannot be completed is
+    reset at both ends, because an orderly end would make a cut answer look
+    complete.
+    """
+
+    def __init__(
+        self,
+        options: RelayOptions,
+        catalog: Callable[[], Catalog],
+        chooser: StreamChooser,
+        limit: StreamLimit,
+        counters: Counters,
+    ) -> None:
+        """Remember the interfaces; nothing is bound yet."""
+        self._options = options
+        self._catalog = catalog
+        self._chooser = chooser
+        self._limit = limit
+        self._counters = counters
+        self._listeners: dict[tuple[ServiceName, Endpoint], asyncio.Task[None]] = {}
+        self._connections: set[asyncio.Task[None]] = set()
+        self._is_stopping = False
+        self._relayed = 0
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections are in progress."""
+        return len(self._connections)
+
+    async def listen(
+        self,
+        addresses: Iterable[tuple[ServiceName, Endpoint]],
+    ) -> tuple[Finding, ...]:
+        """
+        Listen on exactly these addresses; open connections are not affected.
+
+        Returns
+        -------
+        tuple
+            A finding for each address that cannot be bound.
+        """
+        wanted = frozenset() if self._is_stopping else frozenset(addresses)
+        await self._close_listeners(set(self._listeners) - wanted)
+        findings = Findings()
+        for service, address in sorted(wanted - set(self._listeners)):
+            try:
+                listener = _bind(address)
+            except OSError as error:
+                self._counters.add('relay.bind_failed')
+                findings.add(Place('stream address', service, str(address)), str(error))
+                continue
+            task = asyncio.create_task(self._accept(service, listener))
+            self._listeners[(service, address)] = task
+        return findings.as_tuple()
+
+    async def stop(self, timeout_ms: float) -> RelayStop:
+        """
+        Stop accepting, wait for open connections, and reset those that remain.
+
+        Parameters
+        ----------
+        timeout_ms
+            Longest wait for open connections.
+
+        Returns
+        -------
+        RelayStop
+            How many connections ended by themselves and how many were reset.
+        """
+        self._is_stopping = True
+        await self._close_listeners(set(self._listeners))
+        waiting = frozenset(self._connections)
+        if not waiting:
+            return RelayStop(finished=0, cut=0)
+        done, pending = await asyncio.wait(waiting, timeout=timeout_ms / MS_PER_S)
+        for task in pending:
+            task.cancel()
+        if pending:
+            await asyncio.wait(pending)
+            self._counters.add('relay.cut_at_stop', len(pending))
+        result = RelayStop(finished=len(done), cut=len(pending))
+        logger.info('plain TCP: {} finished, {} cut', result.finished, result.cut)
+        return result
+
+    async def _close_listeners(
+        self,
+        keys: Iterable[tuple[ServiceName, Endpoint]],
+    ) -> None:
+        tasks = [self._listeners.pop(key) for key in keys]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _accept(self, service: ServiceName, listener: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with listener:
+            while True:
+                try:
+                    caller, _ = await loop.sock_accept(listener)
+                except OSError as error:
+                    self._counters.add('relay.accept_failed')
+                    logger.warning('accept for {} failed: {}', service, error)
+                    await asyncio.sleep(ACCEPT_PAUSE_MS / MS_PER_S)
+                    continue
+                self._counters.add('relay.accepted')
+                task = loop.create_task(self._serve(service, caller))
+                self._connections.add(task)
+                task.add_done_callback(self._end)
+
+    def _end(self, task: asyncio.Task[None]) -> None:
+        self._connections.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self._counters.add('relay.failed')
+            logger.opt(exception=error).error('relayed connection failed')
+
+    async def _serve(self, service: ServiceName, caller: socket.socket) -> None:
+        customer = self._admit(service)
+        if customer is None:
+            _reset(caller)
+            return
+        try:
+            await self._relay(service, caller)
+        except asyncio.CancelledError:
+            _reset(caller)
+            raise
+        finally:
+            caller.close()
+            self._limit.release(customer, _now_ms())
+
+    def _admit(self, service: ServiceName) -> CustomerId | None:
+        row = self._catalog().services.get(service)
+        customer = row.stream_customer if row else None
+        if customer is None:
+            self._counters.add('relay.refused_no_customer')
+            return None
+        if not self._limit.admit(customer, _now_ms()):
+            self._counters.add('relay.refused_limit')
+            return None
+        return customer
+
+    async def _relay(self, service: ServiceName, caller: socket.socket) -> None:
+        _prepare(caller)
+        connected = await self._connect(service)
+        if connected is None:
+            _reset(caller)
+            return
+        row, upstream = connected
+        self._count_open(row.name, 1)
+        try:
+            await self._transfer(caller, upstream)
+        except asyncio.CancelledError:
+            _reset(upstream)
+            raise
+        finally:
+            upstream.close()
+            self._count_open(row.name, -1)
+
+    async def _connect(
+        self,
+        service: ServiceName,
+    ) -> tuple[UpstreamRow, socket.socket] | None:
+        exclude: frozenset[UpstreamId] = frozenset()
+        for _ in range(CONNECT_ATTEMPTS):
+            row = self._chooser.choose(service, exclude, _now_ms())
+            if row is None:
+                break
+            exclude |= {row.name}
+            if not self._may_serve(service, row):
+                self._counters.add('relay.rejected_choice')
+                continue
+            upstream = await self._connect_to(row)
+            if upstream is None:
+                self._chooser.connect_failed(row.name, _now_ms())
+            elif self._may_serve(service, row):
+                return row, upstream
+            else:
+                # The lists changed while the connection was made.
+                self._counters.add('relay.rejected_choice')
+                upstream.close()
+        self._counters.add('relay.no_upstream')
+        return None
+
+    def _may_serve(self, service: ServiceName, row: UpstreamRow) -> bool:
+        published = self._catalog().upstreams.get(row.name)
+        if published is None or published.stream_address is None:
+            return False
+        return (
+            published.service == service
+            and published.stream_address == row.stream_address
+            and published.state is not OperatorState.LEAVING
+        )
+
+    async def _connect_to(self, row: UpstreamRow) -> socket.socket | None:
+        address = row.stream_address
+        if address is None:
+            return None
+        upstream = _new_socket(address)
+        try:
+            await self._connect_socket(upstream, address)
+        except TimeoutError:
+            self._counters.add('relay.connect_timeout')
+        except OSError:
+            self._counters.add('relay.connect_failed')
+        except asyncio.CancelledError:
+            upstream.close()
+            raise
+        else:
+            _prepare(upstream)
+            self._counters.add('relay.opened')
+            return upstream
+        upstream.close()
+        return None
+
+    async def _connect_socket(self, upstream: socket.socket, address: Endpoint) -> None:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(self._options.connect_timeout_ms / MS_PER_S):
+            await loop.sock_connect(upstream, address.as_pair())
+
+    async def _transfer(self, caller: socket.socket, upstream: socket.socket) -> None:
+        idle_s = self._options.idle_timeout_ms / MS_PER_S
+        up = _Direction(caller, upstream, _Side.CALLER, _Side.UPSTREAM)
+        down = _Direction(upstream, caller, _Side.UPSTREAM, _Side.CALLER)
+        try:
+            async with asyncio.timeout(idle_s) as idle:
+                await _run_both(
+                    self._pump(up, idle, idle_s),
+                    self._pump(down, idle, idle_s),
+                )
+        except TimeoutError:
+            self._counters.add('relay.idle_closed')
+        except _SideResetError as error:
+            self._counters.add(f'relay.reset_by_{error.side.value}')
+        else:
+            self._counters.add('relay.finished')
+            return
+        _reset(caller)
+        _reset(upstream)
+
+    async def _pump(
+        self,
+        direction: '_Direction',
+        idle: asyncio.Timeout,
+        idle_s: float,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        counter = f'relay.bytes_from_{direction.source_side.value}'
+        while chunk := await self._receive(direction):
+            idle.reschedule(loop.time() + idle_s)
+            # The next chunk is read only when this one is sent: a slow reader
+            # stops the sender through the TCP windows.
+            try:
+                await loop.sock_sendall(direction.target, chunk)
+            except OSError as error:
+                raise _SideResetError(direction.target_side) from error
+            idle.reschedule(loop.time() + idle_s)
+            self._counters.add(counter, len(chunk))
+        try:
+            direction.target.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            raise _SideResetError(direction.target_side) from error
+
+    async def _receive(self, direction: '_Direction') -> bytes:
+        loop = asyncio.get_running_loop()
+        try:
+            return await loop.sock_recv(direction.source, self._options.buffer_bytes)
+        except OSError as error:
+            raise _SideResetError(direction.source_side) from error
+
+    def _count_open(self, upstream: UpstreamId, change: int) -> None:
+        self._relayed += change
+        self._counters.set_gauge('relay.open', self._relayed)
+        if change > 0:
+            self._chooser.opened(upstream)
+        else:
+            self._chooser.closed(upstream)
+
+
+@dataclass(frozen=True, slots=True)
+class _Direction:
+    source: socket.socket
+    target: socket.socket
+    source_side: _Side
+    target_side: _Side
+
+
+async def _run_both(*directions: Coroutine[None, None, None]) -> None:
+    tasks = [asyncio.create_task(direction) for direction in directions]
+    try:
+        await _wait_first_error(tasks)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _wait_first_error(tasks: Iterable[asyncio.Task[None]]) -> None:
+    done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_EXCEPTION)
+    for task in done:
+        task.result()
+
+
+def relay_options(settings: Settings) -> RelayOptions:
+    """Return the limits that the settings give."""
+    return RelayOptions(
+        connect_timeout_ms=settings.relay.connect_timeout_ms,
+        idle_timeout_ms=settings.relay.idle_timeout_ms,
+        buffer_bytes=settings.relay.buffer_bytes,
+    )
+
+
+def stream_addresses(
+    settings: Settings,
+    catalog: Catalog,
+) -> tuple[tuple[ServiceName, Endpoint], ...]:
+    """Return service and address of each listener: settings, else published."""
+    named = ini.parse_named_endpoints(settings.entrance.stream_addresses)
+    if named:
+        return tuple((ServiceName(name), address) for name, address in named)
+    return tuple(
+        (row.name, address)
+        for row in catalog.services.values()
+        for address in row.stream_addresses
+    )
+
+
+def _now_ms() -> float:
+    return asyncio.get_running_loop().time() * MS_PER_S
+
+
+def _new_socket(address: Endpoint) -> socket.socket:
+    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+    created = socket.socket(family, socket.SOCK_STREAM)
+    created.setblocking(False)
+    return created
+
+
+def _bind(address: Endpoint) -> socket.socket:
+    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+    listener = socket.create_server(address.as_pair(), family=family, backlog=BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+def _prepare(connection: socket.socket) -> None:
+    connection.setblocking(False)
+    # Small messages must not wait for the acknowledgement of the one before.
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def _reset(connection: socket.socket) -> None:
+    # Setting an option fails when the other end has reset the connection already.
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    connection.close()
--- /dev/null
+++ b/src/cardamomtiller/status.py
@@ -0,0 +1,206 @@
+"""Status endpoint of a running instance, and its client."""
+
+import asyncio
+import json
+import socket
+from abc import ABC, abstractmethod
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from cardamomtiller.identity import MS_PER_S, Endpoint
+
+LARGEST_HEAD_BYTES = 8192
+LARGEST_ANSWER_BYTES = 64_000_000
+REQUEST_TIMEOUT_MS = 5000
+OPEN_REQUESTS = 16
+BACKLOG = 16
+
+STATUS_PATH = '/status'
+FLOWS_PATH = '/flows'
+COUNTERS_PATH = '/counters'
+
+Json = Mapping[str, object] | Sequence[object]
+
+
+class StatusProvider(ABC):
+    """What an instance tells about itself; each method returns JSON values."""
+
+    @abstractmethod
+    def status(self) -> Json:
+        """Return name, state, versions, peers and owned upstreams."""
+
+    @abstractmethod
+    def flows(self) -> Json:
+        """Return the open flows."""
+
+    @abstractmethod
+    def counters(self) -> Json:
+        """Return ``instance``, ``counters`` and ``gauges`` by name."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: HTTPStatus
+    value: Json
+
+
+class StatusServer:
+    """
+    Answer ``GET`` on three paths with JSON, one request per connection.
+
+    The endpoint has no authentication, so settings bind it to a loopback or
+    management address.
+    """
+
+    def __init__(self, provider: StatusProvider, address: Endpoint) -> None:
+        """Remember what to serve; nothing is bound yet."""
+        self._provider = provider
+        self._address = address
+        self._server: asyncio.Server | None = None
+        self._open = 0
+
+    @property
+    def address(self) -> Endpoint:
+        """Return the bound address."""
+        return self._address
+
+    async def start(self) -> None:
+        """
+        Bind the address and serve.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be bound.
+        """
+        listener = socket.create_server(
+            self._address.as_pair(),
+            family=socket.AF_INET6 if ':' in self._address.host else socket.AF_INET,
+        )
+        host, port, *_ = listener.getsockname()
+        self._address = Endpoint(host, port)
+        self._server = await asyncio.start_server(
+            self._serve,
+            sock=listener,
+            limit=LARGEST_HEAD_BYTES,
+            backlog=BACKLOG,
+        )
+
+    def stop(self) -> None:
+        """Stop accepting requests."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._open += 1
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_MS / MS_PER_S):
+                head = await reader.readuntil(b'\r\n\r\n')
+                writer.write(_encode(self._answer(head)))
+                await writer.drain()
+        except (OSError, EOFError, asyncio.LimitOverrunError):
+            # The client left, was too slow, or sent no request head.
+            writer.transport.abort()
+        finally:
+            self._open -= 1
+            writer.close()
+
+    def _answer(self, head: bytes) -> _Answer:
+        words = head.split(b'\r\n', 1)[0].decode('latin-1').split()
+        if len(words) != 3 or not words[2].startswith('HTTP/1.'):
+            return _error(HTTPStatus.BAD_REQUEST)
+        if words[0] != 'GET':
+            return _error(HTTPStatus.METHOD_NOT_ALLOWED)
+        if self._open > OPEN_REQUESTS:
+            return _error(HTTPStatus.SERVICE_UNAVAILABLE)
+        handlers = {
+            STATUS_PATH: self._provider.status,
+            FLOWS_PATH: self._provider.flows,
+            COUNTERS_PATH: self._provider.counters,
+        }
+        handler = handlers.get(words[1].partition('?')[0])
+        if handler is None:
+            return _error(HTTPStatus.NOT_FOUND)
+        try:
+            return _Answer(HTTPStatus.OK, handler())
+        except Exception:
+            # A fault in a status view must not end the instance.
+            logger.exception('status view {} failed', words[1])
+            return _error(HTTPStatus.INTERNAL_SERVER_ERROR)
+
+
+async def fetch_json(
+    address: Endpoint,
+    path: str,
+    timeout_ms: float = REQUEST_TIMEOUT_MS,
+) -> Result[Json, str]:
+    """
+    Read one path of a status endpoint.
+
+    Returns
+    -------
+    Result
+        The decoded JSON value, or one line that says what failed.
+    """
+    try:
+        answer = await asyncio.wait_for(_exchange(address, path), timeout_ms / MS_PER_S)
+    except TimeoutError:
+        return Failure(f'{address}: no answer within {timeout_ms:g} ms')
+    except OSError as error:
+        return Failure(f'{address}: {error}')
+    head, _, body = answer.partition(b'\r\n\r\n')
+    words = head.split(b'\r\n', 1)[0].decode('latin-1').split(maxsplit=2)
+    if len(words) < 2 or words[1] != str(HTTPStatus.OK.value):
+        return Failure(f'{address}: answered {" ".join(words[1:]) or "nothing"}')
+    try:
+        decoded: Json = json.loads(body)
+    except ValueError as error:
+        return Failure(f'{address}: answer is not JSON: {error}')
+    return Success(decoded)
+
+
+async def _exchange(address: Endpoint, path: str) -> bytes:
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    try:
+        return await _request(reader, writer, f'GET {path} HTTP/1.1\r\nHost: {address}')
+    finally:
+        writer.close()
+
+
+async def _request(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    head: str,
+) -> bytes:
+    writer.write(f'{head}\r\n\r\n'.encode())
+    parts: list[bytes] = []
+    size = 0
+    while part := await reader.read(LARGEST_HEAD_BYTES):
+        parts.append(part)
+        size += len(part)
+        if size > LARGEST_ANSWER_BYTES:
+            raise OSError(f'answer is longer than {LARGEST_ANSWER_BYTES} bytes')
+    return b''.join(parts)
+
+
+def _error(status: HTTPStatus) -> _Answer:
+    return _Answer(status, {'error': status.phrase})
+
+
+def _encode(answer: _Answer) -> bytes:
+    body = json.dumps(answer.value, default=str).encode()
+    head = (
+        f'HTTP/1.1 {answer.status.value} {answer.status.phrase}\r\n'
+        f'Content-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\n'
+        f'Connection: close\r\n\r\n'
+    )
+    return head.encode() + body
--- /dev/null
+++ b/tests/features/steps/relay_steps.py
@@ -0,0 +1,593 @@
+"""Steps for the plain TCP entrance: real sockets inside the test process."""
+
+import asyncio
+import contextlib
+import random
+import socket
+import struct
+import time
+import tracemalloc
+from dataclasses import replace
+
+from behave import given, then, when
+
+from cardamomtiller.catalog import build_catalog
+from cardamomtiller.counter import Counters
+from cardamomtiller.document import CustomerRow, PlanRow, ServiceRow, UpstreamRow
+from cardamomtiller.identity import (
+    CustomerId,
+    DomainName,
+    Endpoint,
+    InstanceId,
+    OperatorState,
+    PlanName,
+    RegionName,
+    ServiceName,
+    UpstreamId,
+)
+from cardamomtiller.relay import (
+    FewestConnections,
+    Relay,
+    RelayOptions,
+    StreamChooser,
+    StreamLimit,
+)
+
+OPTIONS = RelayOptions(connect_timeout_ms=300, idle_timeout_ms=600, buffer_bytes=16_384)
+WAIT_S = 5
+CUSTOMER = CustomerId('traders')
+SMALL_BUFFER = 65_536
+
+
+class Upstream:
+    """A server with one behaviour that records what happened to it."""
+
+    def __init__(self, behaviour):
+        self.behaviour = behaviour
+        self.connected = self.open = self.received = self.sent = 0
+        self.resets = self.ends = 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        self.address = Endpoint(*self.server.sockets[0].getsockname())
+
+    async def serve(self, reader, writer):
+        self.connected += 1
+        self.open += 1
+        try:
+            await getattr(self, self.behaviour)(reader, writer)
+        except ConnectionError:
+            self.resets += 1
+        except asyncio.CancelledError:
+            # The scenario is over; asyncio would log the cancelled task.
+            writer.transport.abort()
+        finally:
+            self.open -= 1
+            writer.close()
+
+    async def echo(self, reader, writer):
+        while data := await reader.read(65_536):
+            self.received += len(data)
+            writer.write(data)
+            await writer.drain()
+        self.ends += 1
+
+    async def greeting(self, reader, writer):
+        writer.write(b'hello')
+        writer.write_eof()
+        while data := await reader.read(65_536):
+            self.received += len(data)
+        self.ends += 1
+
+    async def flooding(self, reader, writer):
+        raw = writer.get_extra_info('socket')
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
+        while True:
+            writer.write(bytes(16_384))
+            await writer.drain()
+            self.sent += 16_384
+
+    async def resetting(self, reader, writer):
+        await reader.read(1)
+        reset(writer)
+
+
+class CountingLimit(StreamLimit):
+    """A limit on the number of connections."""
+
+    def __init__(self):
+        self.largest = 1_000
+        self.held = 0
+
+    def admit(self, customer, now_ms):
+        assert customer == CUSTOMER
+        if self.held >= self.largest:
+            return False
+        self.held += 1
+        return True
+
+    def release(self, customer, now_ms):
+        self.held -= 1
+
+
+class FixedChooser(StreamChooser):
+    """A chooser that ignores the service."""
+
+    def __init__(self, row):
+        self.row = row
+
+    def choose(self, service, exclude, now_ms):
+        return None if self.row.name in exclude else self.row
+
+    def opened(self, upstream):
+        raise AssertionError('connected')
+
+    def closed(self, upstream):
+        raise AssertionError('connected')
+
+    def connect_failed(self, upstream, now_ms):
+        raise AssertionError('connected')
+
+
+class Bench:
+    """A relay, its upstreams and the published lists."""
+
+    def __init__(self):
+        self.counters = Counters()
+        self.limit = CountingLimit()
+        self.upstreams = {}
+        self.rows = {}
+        self.service = ServiceRow(ServiceName('desk'), (), (), CUSTOMER)
+        self.chooser = FewestConnections(self.catalog, InstanceId('i1'))
+
+    def catalog(self):
+        plan = PlanRow(PlanName('p'), 1, 1, 1, 1, 1)
+        other = ServiceRow(ServiceName('other'), (), (), CUSTOMER)
+        customer = CustomerRow(CUSTOMER, PlanName('p'), ())
+        rows = (plan, customer, self.service, other, *self.rows.values())
+        return build_catalog(rows)
+
+    async def add(self, name, service, behaviour):
+        upstream = Upstream(behaviour)
+        await upstream.start()
+        self.upstreams[name] = upstream
+        self.rows[name] = UpstreamRow(
+            name=UpstreamId(name),
+            service=ServiceName(service),
+            domain=DomainName('d'),
+            region=RegionName('r'),
+            address=upstream.address,
+            stream_address=upstream.address,
+            slots=1,
+            state=OperatorState.LIVE,
+        )
+
+    async def start(self):
+        self.relay = Relay(
+            OPTIONS, self.catalog, self.chooser, self.limit, self.counters
+        )
+        self.address = free_address()
+        assert not await self.relay.listen([(self.service.name, self.address)])
+
+    async def connect(self):
+        return await asyncio.open_connection(self.address.host, self.address.port)
+
+    def first_choice(self):
+        row = self.chooser.choose(self.service.name, frozenset(), 0)
+        return row.name
+
+
+def reset(writer):
+    """Reset a connection."""
+    raw = writer.get_extra_info('socket')
+    linger = struct.pack('ii', 1, 0)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def free_address():
+    """Return a loopback address that nothing listens on."""
+    with socket.create_server(('127.0.0.1', 0)) as probe:
+        return Endpoint(*probe.getsockname())
+
+
+def run(context, work):
+    """Run a coroutine on the scenario's own event loop."""
+    if not hasattr(context, 'relay_loop'):
+        context.relay_loop = asyncio.new_event_loop()
+        context.add_cleanup(close_loop, context.relay_loop)
+    timed = asyncio.wait_for(work, 4 * WAIT_S)
+    return context.relay_loop.run_until_complete(timed)
+
+
+def close_loop(loop):
+    """Cancel what is left of a scenario."""
+
+    async def cancel():
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    loop.run_until_complete(cancel())
+    loop.close()
+
+
+async def eventually(condition):
+    """Wait until a condition holds."""
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < deadline, 'condition did not become true'
+        await asyncio.sleep(0.01)
+
+
+async def is_reset(reader):
+    """Return whether a connection ends with a reset."""
+    try:
+        while await asyncio.wait_for(reader.read(65_536), WAIT_S):
+            continue
+    except ConnectionError:
+        return True
+    return False
+
+
+@given('a relay to the {behaviour} upstreams "{names}" of service "{service}"')
+def start_relay(context, behaviour, names, service):
+    context.bench = Bench()
+
+    async def start():
+        for name in names.split(', '):
+            await context.bench.add(name, service, behaviour)
+        await context.bench.start()
+
+    run(context, start())
+
+
+@given('the first choice refuses connections')
+def refuse_first(context):
+    name = context.bench.first_choice()
+    dead = replace(context.bench.rows[name], stream_address=free_address())
+    context.bench.rows[name] = dead
+
+
+@given('the first choice does not answer connects')
+def silence_first(context):
+    # A full accept queue drops further connects without an answer.
+    listener = socket.socket()
+    listener.bind(('127.0.0.1', 0))
+    listener.listen(0)
+    fillers = [socket.socket() for _ in range(4)]
+    for filler in fillers:
+        filler.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            filler.connect(listener.getsockname())
+    for held in (listener, *fillers):
+        context.add_cleanup(held.close)
+    name = context.bench.first_choice()
+    address = Endpoint(*listener.getsockname())
+    silent = replace(context.bench.rows[name], stream_address=address)
+    context.bench.rows[name] = silent
+
+
+@given('an upstream "{name}" of service "{service}"')
+def add_upstream(context, name, service):
+    run(context, context.bench.add(name, service, 'echo'))
+
+
+@given('a chooser that always answers "{name}"')
+def fix_chooser(context, name):
+    context.bench.relay._chooser = FixedChooser(context.bench.rows[name])
+
+
+@given('an allowance of {count:d} connections')
+def set_allowance(context, count):
+    context.bench.limit.largest = count
+
+
+@when('a caller sends {count:d} bytes and ends its side')
+def send_and_end(context, count):
+    context.body = random.Random(count).randbytes(count)
+
+    async def exchange():
+        reader, writer = await context.bench.connect()
+
+        async def send():
+            writer.write(context.body)
+            await writer.drain()
+            writer.write_eof()
+
+        _, context.answer = await asyncio.gather(send(), reader.read())
+        writer.close()
+
+    run(context, exchange())
+
+
+@then('the caller receives the same {count:d} bytes and then the end')
+def check_echo(context, count):
+    assert len(context.answer) == count, len(context.answer)
+    assert context.answer == context.body
+
+
+@then('the relay counts {count:d} "{name}"')
+def check_counter(context, count, name):
+    counters = context.bench.counters
+    run(context, eventually(lambda: counters.count(name) >= count))
+    assert counters.count(name) == count, counters.counts()
+
+
+@when('a caller reads the greeting up to its end and then sends {count:d} bytes')
+def read_then_send(context, count):
+    async def exchange():
+        reader, writer = await context.bench.connect()
+        assert await reader.read() == b'hello'
+        writer.write(bytes(count))
+        await writer.drain()
+        writer.close()
+
+    run(context, exchange())
+
+
+@then('upstream "{name}" has received {count:d} bytes and then the end')
+def check_received(context, name, count):
+    upstream = context.bench.upstreams[name]
+    run(context, eventually(lambda: upstream.ends == 1))
+    assert upstream.received == count
+
+
+@when('a caller connects and does not read')
+def connect_without_reading(context):
+    async def connect():
+        raw = socket.socket()
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        raw.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(
+            raw, context.bench.address.as_pair()
+        )
+        return raw
+
+    tracemalloc.start()
+    context.add_cleanup(tracemalloc.stop)
+    context.slow = run(context, connect())
+    context.add_cleanup(context.slow.close)
+
+
+@then('the upstream stops sending while the relay allocates at most {limit:d} bytes')
+def check_stopped(context, limit):
+    upstream = context.bench.upstreams['u1']
+
+    async def settle():
+        before = -1
+        while before != upstream.sent:
+            before = upstream.sent
+            await asyncio.sleep(0.2)
+
+    run(context, settle())
+    assert upstream.sent, 'nothing was sent'
+    peak = tracemalloc.get_traced_memory()[1]
+    assert peak <= limit, peak
+
+
+@then('reading again makes the upstream send again')
+def check_resumes(context):
+    upstream = context.bench.upstreams['u1']
+    before = upstream.sent
+    loop = context.relay_loop
+
+    async def read():
+        while upstream.sent <= before:
+            assert await loop.sock_recv(context.slow, 65_536)
+
+    run(context, read())
+
+
+@when('a caller sends {count:d} bytes and waits')
+def send_and_wait(context, count):
+    async def send():
+        context.reader, context.writer = await context.bench.connect()
+        context.writer.write(bytes(count))
+
+    run(context, send())
+
+
+@when('a caller sends {count:d} bytes and resets')
+def send_and_reset(context, count):
+    async def send():
+        reader, writer = await context.bench.connect()
+        writer.write(bytes(count))
+        await reader.readexactly(count)
+        reset(writer)
+
+    run(context, send())
+
+
+@then('the caller sees a reset')
+def check_caller_reset(context):
+    assert run(context, is_reset(context.reader))
+
+
+@then('upstream "{name}" sees a reset')
+def check_upstream_reset(context, name):
+    upstream = context.bench.upstreams[name]
+    run(context, eventually(lambda: upstream.resets == 1))
+
+
+@then('exactly one upstream was connected once')
+def check_single(context):
+    counts = [row.connected for row in context.bench.upstreams.values()]
+    assert sorted(counts) == [0, 1], counts
+
+
+@then('upstream "{name}" was connected {count:d} times')
+def check_connected(context, name, count):
+    assert context.bench.upstreams[name].connected == count
+
+
+@when('a caller exchanges one byte every 0.2 s for 1 s and then stays silent')
+def trickle(context):
+    async def exchange():
+        context.reader, context.writer = await context.bench.connect()
+        for _ in range(5):
+            context.writer.write(b'x')
+            assert await context.reader.readexactly(1) == b'x'
+            context.silent_since = time.monotonic()
+            await asyncio.sleep(0.2)
+
+    run(context, exchange())
+
+
+@then('the caller sees a reset between {low:g} s and {high:g} s later')
+def check_idle(context, low, high):
+    assert run(context, is_reset(context.reader))
+    assert low <= time.monotonic() - context.silent_since <= high
+
+
+async def open_echo(context):
+    """Open a connection and see it work."""
+    context.reader, context.writer = await context.bench.connect()
+    context.writer.write(b'ping')
+    assert await context.reader.readexactly(4) == b'ping'
+
+
+@when('the relay is stopped while one connection is open')
+def stop_with_open(context):
+    async def begin():
+        await open_echo(context)
+        context.stop = asyncio.create_task(context.bench.relay.stop(WAIT_S * 1000))
+        await asyncio.sleep(0.05)
+
+    run(context, begin())
+
+
+@when(
+    'the relay is stopped with a timeout of {timeout:g} s '
+    'while one connection stays open'
+)
+def stop_with_timeout(context, timeout):
+    async def begin():
+        await open_echo(context)
+        stop = context.bench.relay.stop(timeout * 1000)
+        context.stop = asyncio.create_task(stop)
+
+    run(context, begin())
+
+
+@then('a new connection is refused')
+def check_refused(context):
+    assert run(context, is_refused(context.bench.address))
+
+
+async def is_refused(address):
+    """Return whether nothing listens on an address."""
+    try:
+        _, writer = await asyncio.open_connection(address.host, address.port)
+    except ConnectionRefusedError:
+        return True
+    writer.close()
+    return False
+
+
+@then('the open connection still echoes and ends in order')
+def check_open(context):
+    async def exchange():
+        context.writer.write(b'pong')
+        context.writer.write_eof()
+        assert await context.reader.read() == b'pong'
+        context.writer.close()
+
+    run(context, exchange())
+
+
+@then('the stop reports {finished:d} finished and {cut:d} cut')
+def check_stop(context, finished, cut):
+    async def wait():
+        return await context.stop
+
+    report = run(context, wait())
+    assert (report.finished, report.cut) == (finished, cut), report
+
+
+@when('"{name}" is published as leaving')
+def publish_leaving(context, name):
+    row = context.bench.rows[name]
+    context.bench.rows[name] = replace(row, state=OperatorState.LEAVING)
+
+
+@when('the service is published without a stream customer')
+def publish_without_customer(context):
+    context.bench.service = replace(context.bench.service, stream_customer=None)
+
+
+@when('{count:d} callers connect one after the other')
+def connect_many(context, count):
+    async def connect():
+        for _ in range(count):
+            await open_echo(context)
+            context.writer.close()
+
+    run(context, connect())
+
+
+@when('{count:d} callers hold their connections')
+def hold_many(context, count):
+    async def hold():
+        context.held = [await context.bench.connect() for _ in range(count)]
+        answered = context.bench.counters.count
+        await eventually(
+            lambda: answered('relay.opened') + answered('relay.refused_limit') == count
+        )
+        upstreams = context.bench.upstreams.values()
+        opened = answered('relay.opened')
+        await eventually(lambda: sum(row.open for row in upstreams) == opened)
+
+    run(context, hold())
+
+
+@then('each upstream holds {count:d} connections')
+def check_spread(context, count):
+    held = {name: row.open for name, row in context.bench.upstreams.items()}
+    assert set(held.values()) == {count}, held
+
+
+@then('{count:d} of them sees a reset')
+def check_resets(context, count):
+    async def probe():
+        resets = 0
+        for reader, _ in context.held:
+            with contextlib.suppress(TimeoutError, ConnectionError):
+                await asyncio.wait_for(reader.read(1), 0.05)
+            resets += isinstance(reader.exception(), ConnectionResetError)
+        return resets
+
+    assert run(context, probe()) == count
+
+
+@then('ending one of them lets another caller connect')
+def check_released(context):
+    async def replace_one():
+        writer = context.held[0][1]
+        writer.close()
+        await eventually(lambda: context.bench.limit.held == 1)
+        await open_echo(context)
+
+    run(context, replace_one())
+
+
+@when('the relay is told to listen on another address while one connection is open')
+def move_listener(context):
+    async def move():
+        await open_echo(context)
+        context.old_address = context.bench.address
+        context.bench.address = free_address()
+        wanted = [(context.bench.service.name, context.bench.address)]
+        assert not await context.bench.relay.listen(wanted)
+
+    run(context, move())
+
+
+@then('the old address refuses connections and the new one relays')
+def check_moved(context):
+    assert run(context, is_refused(context.old_address))
+    held = (context.reader, context.writer)
+    run(context, open_echo(context))
+    context.writer.close()
+    context.reader, context.writer = held
