--- /dev/null
+++ b/src/cardamomtiller/check.py
@@ -0,0 +1,256 @@
+"""Check a settings file and a folder of published lists before use."""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from returns.result import Failure, Success
+
+from cardamomtiller import ini
+from cardamomtiller.catalog import Catalog, build_catalog, check_catalog
+from cardamomtiller.document import (
+    CUSTOMERS,
+    INSTANCES_PREFIX,
+    KEYS,
+    PLANS,
+    SERVICES,
+    UPSTREAMS_PREFIX,
+    Document,
+    InstanceRow,
+    Row,
+    UpstreamRow,
+    parse_document,
+)
+from cardamomtiller.finding import Finding, Findings, Place
+from cardamomtiller.identity import (
+    DocumentName,
+    Endpoint,
+    InstanceId,
+    OperatorState,
+    ServiceName,
+    Version,
+)
+from cardamomtiller.settings import load_settings
+from cardamomtiller.settings_pb2 import Settings
+
+LIST_SUFFIX = '.ini'
+REQUIRED_LISTS = (PLANS, CUSTOMERS, KEYS, SERVICES)
+# One of two keepalives may be lost without an effect on the flow.
+KEEPALIVES_PER_LIFETIME = 2
+
+_Note = tuple[Place, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Lists:
+    """Published lists read from a folder."""
+
+    folder: Path
+    rows: tuple[Row, ...]
+    catalog: Catalog
+    findings: tuple[Finding, ...]
+
+
+def read_lists(folder: Path) -> Lists:
+    """
+    Read and check each ``NAME.ini`` of a folder.
+
+    Returns
+    -------
+    Lists
+        The rows of the valid lists, and the findings of all lists with the
+        path of the file as their source.
+    """
+    findings = Findings()
+    rows: list[Row] = []
+    paths = sorted(folder.glob(f'*{LIST_SUFFIX}')) if folder.is_dir() else []
+    for name in REQUIRED_LISTS:
+        path = _path_of(folder, name)
+        if path not in paths:
+            findings.add(Place(str(path)), 'missing')
+    for path in paths:
+        parsed = _read_list(path)
+        if isinstance(parsed, Failure):
+            findings.rows.extend(_with_path(folder, parsed.failure()))
+        else:
+            rows.extend(parsed.unwrap())
+    return Lists(folder, tuple(rows), build_catalog(rows), findings.as_tuple())
+
+
+def check_lists(lists: Lists) -> tuple[Finding, ...]:
+    """Return the findings of each list and of the lists together."""
+    if lists.findings:
+        # References to the rows of a refused list would be reported as well.
+        return lists.findings
+    together = list(check_catalog(lists.rows))
+    for check in (_check_streams, _check_addresses, _check_regions, _check_secrets):
+        notes = check(lists.catalog)
+        together.extend(Finding(place, message) for place, message in notes)
+    return tuple(dict.fromkeys(_with_path(lists.folder, together)))
+
+
+def check_settings(settings: Settings, source: str) -> tuple[Finding, ...]:
+    """Return findings on keys that contradict one another."""
+    shortest_ms = KEEPALIVES_PER_LIFETIME * settings.flow.keepalive_ms
+    limits_ms = {
+        'flow_idle_ms': settings.flow.flow_idle_ms,
+        'cookie_lifetime_ms': settings.flow.cookie_lifetime_ms,
+    }
+    return tuple(
+        Finding(
+            Place(source, 'flow', key),
+            f'{limit_ms:g} is less than twice keepalive_ms',
+        )
+        for key, limit_ms in limits_ms.items()
+        if limit_ms < shortest_ms
+    )
+
+
+def check_files(settings: Path | None, folder: Path | None) -> tuple[Finding, ...]:
+    """
+    Check a settings file, a folder of lists, or both and how they fit.
+
+    Returns
+    -------
+    tuple
+        Every finding with file, section and key; empty when all is well.
+    """
+    findings: list[Finding] = []
+    valid: Settings | None = None
+    if settings is not None:
+        loaded = load_settings(settings)
+        if isinstance(loaded, Success):
+            valid = loaded.unwrap()
+            findings.extend(check_settings(valid, str(settings)))
+        else:
+            findings.extend(loaded.failure())
+    if folder is not None:
+        lists = read_lists(folder)
+        findings.extend(check_lists(lists))
+        if valid is not None:
+            fit = _check_fit(valid, str(settings), lists)
+            findings.extend(Finding(place, message) for place, message in fit)
+    return tuple(findings)
+
+
+def _path_of(folder: Path, name: str) -> Path:
+    return folder / f'{name}{LIST_SUFFIX}'
+
+
+def _read_list(
+    path: Path,
+) -> Success[tuple[Row, ...]] | Failure[tuple[Finding, ...]]:
+    name = DocumentName(path.name.removesuffix(LIST_SUFFIX))
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure((Finding(Place(name), f'cannot be read: {error}'),))
+    parsed = parse_document(Document(name, Version(0), text))
+    if isinstance(parsed, Failure):
+        return Failure(parsed.failure())
+    return Success(parsed.unwrap())
+
+
+def _with_path(folder: Path, findings: Sequence[Finding]) -> Iterator[Finding]:
+    for finding in findings:
+        source = str(_path_of(folder, finding.place.source))
+        yield replace(finding, place=replace(finding.place, source=source))
+
+
+def _check_streams(catalog: Catalog) -> Iterator[_Note]:
+    for service in catalog.services.values():
+        title = f'service {service.name}'
+        if not service.datagram_addresses and not service.stream_addresses:
+            yield Place(SERVICES, title), 'no address'
+        if not service.stream_addresses:
+            continue
+        if service.stream_customer is None:
+            place = Place(SERVICES, title, 'stream_customer')
+            yield place, 'missing; plain TCP connections would be refused'
+        for row in catalog.pools[service.name]:
+            is_needed = row.state is not OperatorState.LEAVING
+            if is_needed and row.stream_address is None:
+                place = _place_of(row, 'stream_address')
+                yield place, f'missing; service {service.name} has stream addresses'
+
+
+def _check_addresses(catalog: Catalog) -> Iterator[_Note]:
+    owners: dict[Endpoint, str] = {}
+    for address, row, key in _addresses(catalog):
+        other = owners.setdefault(address, row.name)
+        if other != row.name:
+            yield _place_of(row, key), f'address {address} also belongs to {other}'
+
+
+def _addresses(
+    catalog: Catalog,
+) -> Iterator[tuple[Endpoint, InstanceRow | UpstreamRow, str]]:
+    for instance in catalog.instances.values():
+        yield instance.peer_address, instance, 'peer_address'
+    for upstream in catalog.upstreams.values():
+        yield upstream.address, upstream, 'address'
+        if upstream.stream_address is not None:
+            yield upstream.stream_address, upstream, 'stream_address'
+
+
+def _check_regions(catalog: Catalog) -> Iterator[_Note]:
+    regions = {row.domain: row.region for row in catalog.instances.values()}
+    for row in catalog.upstreams.values():
+        region = regions.get(row.domain)
+        if region is None:
+            place = Place(f'{UPSTREAMS_PREFIX}{row.domain}', f'upstream {row.name}')
+            yield place, f'failure domain {row.domain!r} has no instance'
+        elif region != row.region:
+            place = Place(f'{UPSTREAMS_PREFIX}{row.domain}', 'domain', 'region')
+            message = f'{row.region!r}, but {INSTANCES_PREFIX}{row.domain} says'
+            yield place, f'{message} {region!r}'
+
+
+def _check_secrets(catalog: Catalog) -> Iterator[_Note]:
+    owners: dict[bytes, str] = {}
+    for customer in catalog.customers.values():
+        for secret in customer.secrets:
+            other = owners.setdefault(secret, customer.name)
+            if other != customer.name:
+                place = Place(CUSTOMERS, f'customer {customer.name}', 'secret')
+                yield place, f'the same secret as customer {other}'
+
+
+def _place_of(row: InstanceRow | UpstreamRow, key: str) -> Place:
+    if isinstance(row, InstanceRow):
+        return Place(f'{INSTANCES_PREFIX}{row.domain}', f'instance {row.name}', key)
+    return Place(f'{UPSTREAMS_PREFIX}{row.domain}', f'upstream {row.name}', key)
+
+
+def _check_fit(settings: Settings, source: str, lists: Lists) -> Iterator[_Note]:
+    own = settings.instance
+    catalog = lists.catalog
+    row = catalog.instances.get(InstanceId(own.name))
+    if row is None:
+        place = Place(source, 'instance', 'name')
+        yield place, f'{own.name!r} is in no list of instances'
+    else:
+        yield from _compare_instance(settings, source, row)
+    for key in ('datagram_addresses', 'stream_addresses'):
+        text = getattr(settings.entrance, key)
+        for name, _address in ini.parse_named_endpoints(text):
+            if ServiceName(name) not in catalog.services:
+                place = Place(source, 'entrance', key)
+                yield place, f'service {name!r} does not exist'
+
+
+def _compare_instance(
+    settings: Settings,
+    source: str,
+    row: InstanceRow,
+) -> Iterator[_Note]:
+    own = settings.instance
+    pairs = (
+        ('failure_domain', own.failure_domain, row.domain),
+        ('region', own.region, row.region),
+        ('peer_address', own.peer_address, str(row.peer_address)),
+    )
+    for key, value, published in pairs:
+        if value != published:
+            message = f'{value!r}, but the published list says {published!r}'
+            yield Place(source, 'instance', key), message
--- a/src/cardamomtiller/cookie.py
+++ b/src/cardamomtiller/cookie.py
@@ -3,6 +3,8 @@
 import hashlib
 import hmac
 from collections import OrderedDict
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
 
 from google.protobuf.message import DecodeError
 from returns.result import Failure, Result, Success
@@ -16,6 +18,31 @@
 COOKIES_CACHED = 50_000
 
 
+VERDICTS = {
+    'cookie.malformed': 'not valid: cannot be decoded',
+    'cookie.unknown_key': 'not valid: sealed with a key that is not published',
+    'cookie.forged': 'not valid: the MAC does not match this flow and this key',
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """What a sealed cookie says, for operators."""
+
+    key_id: int | None
+    key_state: str
+    is_valid: bool
+    verdict: str
+    fields: tuple[tuple[str, str], ...]
+
+    def lines(self) -> Iterator[str]:
+        """Iterate over the lines to show."""
+        yield f'key id: {self.key_id} ({self.key_state})'
+        yield f'verdict: {self.verdict}'
+        for name, value in self.fields:
+            yield f'{name}: {value}'
+
+
 class CookieSealer:
     """
     Seal cookies with the current key and open them with every accepted one.
@@ -95,3 +122,54 @@
     digest.update(flow)
     digest.update(body)
     return digest.digest()
+
+
+def explain_cookie(
+    sealed: bytes,
+    flow: bytes,
+    keys: Mapping[int, KeyRow],
+) -> Explanation:
+    """
+    Explain a sealed cookie, valid or not.
+
+    Parameters
+    ----------
+    sealed
+        Sealed cookie.
+    flow
+        Flow id.
+    keys
+        Published sealing keys.
+
+    Returns
+    -------
+    Explanation
+        Key, verdict and fields; the fields of a cookie that is not valid are
+        shown as far as they can be decoded, and must not be trusted.
+    """
+    sealer = CookieSealer()
+    sealer.set_keys(dict(keys))
+    opened = sealer.open(FlowId(flow), sealed)
+    is_valid = isinstance(opened, Success)
+    return Explanation(
+        key_id=sealed[0] if sealed else None,
+        key_state=_key_state(keys.get(sealed[0]) if sealed else None),
+        is_valid=is_valid,
+        verdict='valid' if is_valid else VERDICTS[opened.failure()],
+        fields=tuple(_fields(sealed[1 + MAC_BYTES :])),
+    )
+
+
+def _key_state(key: KeyRow | None) -> str:
+    if key is None:
+        return 'not published'
+    return 'current' if key.is_current else 'accepted'
+
+
+def _fields(body: bytes) -> Iterator[tuple[str, str]]:
+    try:
+        cookie = Cookie.FromString(body)
+    except DecodeError:
+        return
+    for descriptor in Cookie.DESCRIPTOR.fields:
+        yield descriptor.name, str(getattr(cookie, descriptor.name))
