--- a/src/cardamomtiller/selection.py
+++ b/src/cardamomtiller/selection.py
@@ -1,12 +1,39 @@
 """Choice of an upstream for a new flow."""
 
+import hashlib
+import math
+import statistics
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from cardamomtiller.document import UpstreamRow
-from cardamomtiller.identity import FlowId, Outcome, UpstreamId
+from cardamomtiller.identity import FlowId, OperatorState, Outcome, UpstreamId
 from cardamomtiller.settings_pb2 import SelectionSettings
 from cardamomtiller.wire_pb2 import UpstreamLoad
 
+CANDIDATES = 2
+# One request that waits or runs weighs as much as this many open flows.
+QUEUE_WEIGHT = 8
+# The instance's own choices fade out over the age of typical load reports.
+PICKS_FADE_MS = 1500
+OBSERVATIONS_AVERAGED = 10
+OBSERVATIONS_NEEDED = 5
+# An upstream is an outlier when its share of failures exceeds the median of the
+# pool by this much, or its latency is this many times the median.
+OUTLYING_FAILURE_SHARE = 0.3
+OUTLYING_LATENCY_FACTOR = 3
+SMALLEST_OUTLYING_LATENCY_MS = 50
+LONGEST_EJECTION_FACTOR = 16
+# An upstream that cannot be ejected (cap reached) looks this much more loaded.
+FAILURE_PENALTY = 9
+UNHEALTHY_PENALTY = 3
+SMALLEST_RAMP_SHARE = 0.1
+MEDIANS_KEPT_MS = 100
+
+DIGEST_BYTES = 32
+WORD_BYTES = 8
+WORD_RANGE = 1 << 64
+
 
 @dataclass(frozen=True, slots=True)
 class Options:
@@ -48,11 +75,94 @@
         )
 
 
+class _Upstream:
+    """What this instance learned about one upstream."""
+
+    def __init__(self, row: UpstreamRow, now_ms: float) -> None:
+        self.row = row
+        self.load: Load | None = None
+        self.failure_share: float = 0
+        self.latency_ms: float = 0
+        self.observations = 0
+        self.ramp_from_ms: float = -math.inf
+        self.ejected_until_ms: float = -math.inf
+        self.is_ejected = False
+        self.ejections = 0
+        self._picks: float = 0
+        self._picked_ms = now_ms
+
+    def count_pick(self, now_ms: float) -> None:
+        self._picks = self.recent_picks(now_ms) + 1
+        self._picked_ms = now_ms
+
+    def recent_picks(self, now_ms: float) -> float:
+        passed_ms = max(0, now_ms - self._picked_ms)
+        return self._picks * math.exp(-passed_ms / PICKS_FADE_MS)
+
+    def observe(self, *, is_failure: bool, latency_ms: float) -> None:
+        self.observations += 1
+        weight = 1 / min(self.observations, OBSERVATIONS_AVERAGED)
+        self.failure_share += (is_failure - self.failure_share) * weight
+        if not is_failure:
+            self.latency_ms += (latency_ms - self.latency_ms) * weight
+
+    def is_known(self) -> bool:
+        return self.observations >= OBSERVATIONS_NEEDED
+
+    def eject(self, ejection_ms: float, now_ms: float) -> None:
+        factor = min(2**self.ejections, LONGEST_EJECTION_FACTOR)
+        if now_ms - self.ejected_until_ms > ejection_ms * LONGEST_EJECTION_FACTOR:
+            factor = 1
+            self.ejections = 0
+        self.ejections += 1
+        self.is_ejected = True
+        self.ejected_until_ms = now_ms + ejection_ms * factor
+
+    def readmit(self, now_ms: float) -> None:
+        self.is_ejected = False
+        self.failure_share = 0
+        self.latency_ms = 0
+        self.observations = 0
+        self.ramp_from_ms = now_ms
+
+    def penalty(self) -> float:
+        """Return the factor by which failures make the load look larger."""
+        if self.is_known():
+            return 1 + FAILURE_PENALTY * self.failure_share
+        # Reported health counts only until this instance knows better.
+        is_healthy = self.load is None or self.load.is_healthy
+        return 1 if is_healthy else 1 + UNHEALTHY_PENALTY
+
+
 class Selection:
-    """Choose among the upstreams of one service."""
+    """
+    Choose among the upstreams of one service.
+
+    Two candidates are drawn by hash of the flow id and the less loaded one is
+    taken. The choice among few random candidates keeps instances that act on the
+    same old reports from all choosing the same upstream.
+    """
 
-    def __init__(self, options: Options) -> None:
-        """Start with an empty pool."""
+    def __init__(self, options: Options, candidates: int = CANDIDATES) -> None:
+        """
+        Start with an empty pool.
+
+        Parameters
+        ----------
+        options
+            Limits of ejection and slow start.
+        candidates
+            Number of upstreams that are compared for each flow.
+        """
+        self._options = options
+        self._candidates = candidates
+        self._upstreams: dict[UpstreamId, _Upstream] = {}
+        self._eligible: tuple[_Upstream, ...] = ()
+        self._typical_load: float = 0
+        self._typical_failure_share: float = 0
+        self._typical_latency_ms: float = 0
+        self._typical_until_ms: float = -math.inf
+        self._readmit_at_ms: float = math.inf
 
     def choose(
         self,
@@ -61,7 +171,20 @@
         now_ms: float,
     ) -> UpstreamId | None:
         """Return the upstream for a new flow; None if there is none."""
-        raise NotImplementedError
+        self._readmit(now_ms)
+        self._refresh_typical(now_ms)
+        pool: Sequence[_Upstream] = self._eligible
+        if exclude:
+            pool = [item for item in pool if item.row.name not in exclude]
+            pool = pool or self._ejected_but(exclude)
+        if not pool:
+            return None
+        words = _hash_words(flow)
+        drawn = _draw(pool, self._candidates, words)
+        drawn.sort(key=lambda item: self._score(item, now_ms))
+        chosen = self._first_ramped(drawn, words, now_ms)
+        chosen.count_pick(now_ms)
+        return chosen.row.name
 
     def observe(
         self,
@@ -71,16 +194,178 @@
         now_ms: float,
     ) -> None:
         """Count how one open or request at an upstream ended."""
-        raise NotImplementedError
+        item = self._upstreams.get(upstream)
+        if item is None or outcome is Outcome.CANCELLED:
+            return
+        is_failure = outcome is not Outcome.DONE
+        item.observe(is_failure=is_failure, latency_ms=latency_ms)
+        self._refresh_typical(now_ms)
+        if not item.is_ejected and self._is_outlier(item) and self._may_eject():
+            item.eject(self._options.ejection_ms, now_ms)
+            self._list_eligible()
 
     def report_load(self, upstream: UpstreamId, load: Load, now_ms: float) -> None:
         """Take a load report, which may be seconds old."""
-        raise NotImplementedError
+        item = self._upstreams.get(upstream)
+        if item is not None:
+            item.load = load
+            self._refresh_typical(now_ms)
 
     def set_upstreams(self, rows: tuple[UpstreamRow, ...], now_ms: float) -> None:
         """Replace the pool; known upstreams keep what was learned."""
-        raise NotImplementedError
+        is_first = not self._upstreams
+        known = self._upstreams
+        self._upstreams = {}
+        for row in rows:
+            item = known.get(row.name) or _Upstream(row, now_ms)
+            was_leaving = item.row.state is OperatorState.LEAVING
+            is_new = row.name not in known and not is_first
+            is_joining = row.name not in known and row.state is OperatorState.JOINING
+            if is_new or is_joining or (was_leaving and row.state != item.row.state):
+                item.ramp_from_ms = now_ms
+            item.row = row
+            self._upstreams[row.name] = item
+        self._typical_until_ms = -math.inf
+        self._enforce_cap(now_ms)
+        self._list_eligible()
 
     def ejected(self, now_ms: float) -> frozenset[UpstreamId]:
         """Return the upstreams that are ejected now."""
-        raise NotImplementedError
+        self._readmit(now_ms)
+        return frozenset(item.row.name for item in self._ejected_items())
+
+    def _score(self, item: _Upstream, now_ms: float) -> float:
+        """Return the expected load per slot."""
+        load = item.load
+        if load is None:
+            return self._typical_load + item.recent_picks(now_ms) / item.row.slots
+        return _reported_load(item, load, item.recent_picks(now_ms)) * item.penalty()
+
+    def _first_ramped(
+        self,
+        drawn: Sequence[_Upstream],
+        words: Sequence[int],
+        now_ms: float,
+    ) -> _Upstream:
+        for index, item in enumerate(drawn):
+            # Words from the end are independent of those that drew candidates.
+            word = words[-1 - index % len(words)]
+            if self._ramp_share(item, now_ms) * WORD_RANGE > word:
+                return item
+        return drawn[0]
+
+    def _ramp_share(self, item: _Upstream, now_ms: float) -> float:
+        if now_ms - item.ramp_from_ms >= self._options.ramp_ms:
+            return 1
+        passed = (now_ms - item.ramp_from_ms) / self._options.ramp_ms
+        return max(SMALLEST_RAMP_SHARE, passed)
+
+    def _readmit(self, now_ms: float) -> None:
+        if now_ms < self._readmit_at_ms:
+            return
+        for item in self._ejected_items():
+            if now_ms >= item.ejected_until_ms:
+                item.readmit(now_ms)
+        self._list_eligible()
+
+    def _ejected_items(self) -> Iterator[_Upstream]:
+        return (item for item in self._upstreams.values() if item.is_ejected)
+
+    def _ejected_but(self, exclude: frozenset[UpstreamId]) -> list[_Upstream]:
+        # An ejected upstream is better than none for a retry.
+        return [
+            item
+            for item in self._ejected_items()
+            if item.row.name not in exclude
+            and item.row.state is not OperatorState.LEAVING
+        ]
+
+    def _list_eligible(self) -> None:
+        self._eligible = tuple(
+            item
+            for item in self._upstreams.values()
+            if not item.is_ejected and item.row.state is not OperatorState.LEAVING
+        )
+        times = [item.ejected_until_ms for item in self._ejected_items()]
+        self._readmit_at_ms = min(times, default=math.inf)
+
+    def _may_eject(self) -> bool:
+        count = sum(1 for _ in self._ejected_items())
+        return count < self._ejection_cap() and len(self._eligible) > 1
+
+    def _ejection_cap(self) -> int:
+        return int(self._options.largest_ejected_share * self._serving_count())
+
+    def _serving_count(self) -> int:
+        return sum(
+            1
+            for item in self._upstreams.values()
+            if item.row.state is not OperatorState.LEAVING
+        )
+
+    def _enforce_cap(self, now_ms: float) -> None:
+        # A pool that got smaller may have too many ejected upstreams.
+        items = sorted(self._ejected_items(), key=lambda item: item.ejected_until_ms)
+        for item in items[: max(0, len(items) - self._ejection_cap())]:
+            item.readmit(now_ms)
+
+    def _is_outlier(self, item: _Upstream) -> bool:
+        if not item.is_known():
+            return False
+        excess = item.failure_share - self._typical_failure_share
+        if excess > OUTLYING_FAILURE_SHARE:
+            return True
+        limit_ms = OUTLYING_LATENCY_FACTOR * self._typical_latency_ms
+        return item.latency_ms > max(limit_ms, SMALLEST_OUTLYING_LATENCY_MS)
+
+    def _refresh_typical(self, now_ms: float) -> None:
+        if now_ms < self._typical_until_ms:
+            return
+        self._typical_until_ms = now_ms + MEDIANS_KEPT_MS
+        items = self._upstreams.values()
+        known = [item for item in items if item.is_known()]
+        self._typical_failure_share = _median([item.failure_share for item in known])
+        self._typical_latency_ms = _median([item.latency_ms for item in known])
+        self._typical_load = _median(
+            [
+                _reported_load(item, item.load, 0)
+                for item in items
+                if item.load is not None
+            ],
+        )
+
+
+def _reported_load(item: _Upstream, load: Load, picks: float) -> float:
+    requests = load.queued_requests + load.running_requests
+    weighted = load.open_flows + QUEUE_WEIGHT * requests + picks
+    return weighted / max(1, load.slots or item.row.slots)
+
+
+def _median(values: Sequence[float]) -> float:
+    # The low median: in a pool of two, the better one is typical.
+    return statistics.median_low(values) if values else 0
+
+
+def _hash_words(flow: FlowId) -> tuple[int, ...]:
+    digest = hashlib.blake2b(flow, digest_size=DIGEST_BYTES).digest()
+    return tuple(
+        int.from_bytes(digest[start : start + WORD_BYTES], 'big')
+        for start in range(0, DIGEST_BYTES, WORD_BYTES)
+    )
+
+
+def _draw(
+    pool: Sequence[_Upstream],
+    count: int,
+    words: Sequence[int],
+) -> list[_Upstream]:
+    """Draw different upstreams by the words of a hash."""
+    if count >= len(pool):
+        return list(pool)
+    drawn: list[int] = []
+    for index in range(count):
+        position = words[index % len(words)] % (len(pool) - index)
+        for taken in sorted(drawn):
+            position += position >= taken
+        drawn.append(position)
+    return [pool[position] for position in drawn]
--- /dev/null
+++ b/tools/policy_simulation.py
@@ -0,0 +1,426 @@
+"""Drive the scheduler and the selection with a simulated clock.
+
+The deciding code is the real one. Callers, upstreams, running times and report
+delays are simulated, so the figures say nothing about sockets or processes.
+"""
+
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from random import Random
+from typing import Protocol
+
+from returns.result import Result, Success
+
+from cardamomtiller import scheduler, selection
+from cardamomtiller.document import UpstreamRow
+from cardamomtiller.identity import (
+    CustomerId,
+    DomainName,
+    Endpoint,
+    FlowId,
+    OperatorState,
+    Outcome,
+    RegionName,
+    RequestId,
+    RequestKey,
+    ServiceClass,
+    ServiceName,
+    UpstreamId,
+)
+from cardamomtiller.scheduler import Refusal, Scheduler, Work
+from cardamomtiller.selection import Load, Selection
+
+QUEUE_OPTIONS = scheduler.Options(
+    long_run_ms=500,
+    long_bytes=65536,
+    longest_wait_ms=10_000,
+    urgent_weight=16,
+    normal_weight=4,
+    bulk_weight=1,
+)
+SELECTION_OPTIONS = selection.Options(
+    largest_ejected_share=0.3,
+    ramp_ms=5000,
+    ejection_ms=5000,
+)
+FLOW = FlowId(bytes(16))
+INFINITE_MS = float('inf')
+
+_serial = itertools.count()
+
+
+@dataclass
+class Job:
+    """One request with its true running time and what became of it."""
+
+    arrival_ms: float
+    run_ms: float
+    customer: str
+    service_class: ServiceClass
+    timeout_ms: float
+    size_bytes: int = 500
+    weight: float = 1
+    start_ms: float = INFINITE_MS
+    end_ms: float = INFINITE_MS
+    fate: str = 'waiting'
+
+    def as_work(self) -> Work:
+        """Return the form that the scheduler takes."""
+        return Work(
+            request=RequestKey(FLOW, RequestId(next(_serial))),
+            customer=CustomerId(self.customer),
+            service_class=self.service_class,
+            size_bytes=self.size_bytes,
+            deadline_ms=self.arrival_ms + self.timeout_ms,
+            weight=self.weight,
+            is_idempotent=True,
+            payload=self,
+        )
+
+    def is_in_time(self) -> bool:
+        """Return whether the answer arrived before the deadline."""
+        return self.end_ms <= self.arrival_ms + self.timeout_ms
+
+    def wait_ms(self) -> float:
+        """Return the time between arrival and start."""
+        return self.start_ms - self.arrival_ms
+
+
+class Queue(Protocol):
+    """What the simulation needs of a queue."""
+
+    def submit(self, work: Work, now_ms: float) -> Result[None, Refusal]: ...
+    def start(self, now_ms: float) -> Iterator[Work]: ...
+    def expire(self, now_ms: float) -> Iterator[Work]: ...
+    def finish(self, request: RequestKey, outcome: Outcome, now_ms: float) -> None: ...
+    def next_event_ms(self, now_ms: float) -> float: ...
+
+
+class FifoQueue:
+    """Baseline: one queue in order of arrival, without bound or deadlines."""
+
+    def __init__(self, slots: int) -> None:
+        """Start empty."""
+        self._slots = slots
+        self._queue: deque[Work] = deque()
+        self._running: set[RequestKey] = set()
+
+    def submit(self, work: Work, now_ms: float) -> Result[None, Refusal]:
+        """Append the work."""
+        self._queue.append(work)
+        return Success(None)
+
+    def start(self, now_ms: float) -> Iterator[Work]:
+        """Iterate over the work for the free slots."""
+        while self._queue and len(self._running) < self._slots:
+            work = self._queue.popleft()
+            self._running.add(work.request)
+            yield work
+
+    def expire(self, now_ms: float) -> Iterator[Work]:
+        """Drop nothing."""
+        return iter(())
+
+    def finish(self, request: RequestKey, outcome: Outcome, now_ms: float) -> None:
+        """Free the slot."""
+        self._running.discard(request)
+
+    def next_event_ms(self, now_ms: float) -> float:
+        """Return infinity: nothing happens by itself."""
+        return INFINITE_MS
+
+
+@dataclass
+class Upstream:
+    """Simulated upstream behind one queue."""
+
+    queue: Queue
+    jobs: list[Job]
+    horizon_ms: float
+    # Returns the next job of a closed loop when one has ended.
+    follow: Callable[[Job, float], Job | None] = lambda job, now_ms: None
+    speed: float = 1
+    done: list[Job] = field(default_factory=list)
+
+    def run(self) -> list[Job]:
+        """Run until the horizon and return every job that arrived."""
+        events: list[tuple[float, int, Job, RequestKey | None]] = [
+            (job.arrival_ms, next(_serial), job, None) for job in self.jobs
+        ]
+        heapq.heapify(events)
+        wake_ms = INFINITE_MS
+        while events or wake_ms < INFINITE_MS:
+            now_ms = min(wake_ms, events[0][0]) if events else wake_ms
+            if now_ms > self.horizon_ms:
+                break
+            while events and events[0][0] <= now_ms:
+                self._handle(heapq.heappop(events), events, now_ms)
+            for work in self.queue.expire(now_ms):
+                self._end(work.payload, 'expired', events, now_ms)
+            for work in self.queue.start(now_ms):
+                job = work.payload
+                job.start_ms = now_ms
+                job.fate = 'running'
+                due_ms = now_ms + job.run_ms / self.speed
+                item = (due_ms, next(_serial), job, work.request)
+                heapq.heappush(events, item)
+            wake_ms = self.queue.next_event_ms(now_ms)
+            if wake_ms <= now_ms:
+                wake_ms = now_ms + 0.001
+        return self.done
+
+    def _handle(self, event, events, now_ms: float) -> None:
+        job, request = event[2], event[3]
+        if request is not None:
+            self.queue.finish(request, Outcome.DONE, now_ms)
+            job.end_ms = now_ms
+            self._end(job, 'done', events, now_ms)
+            return
+        self.done.append(job)
+        if not isinstance(self.queue.submit(job.as_work(), now_ms), Success):
+            self._end(job, 'refused', events, now_ms)
+
+    def _end(self, job: Job, fate: str, events, now_ms: float) -> None:
+        job.fate = fate
+        following = self.follow(job, now_ms)
+        if following is not None:
+            heapq.heappush(
+                events, (following.arrival_ms, next(_serial), following, None)
+            )
+
+
+def scheduler_queue(slots: int) -> Scheduler:
+    """Return the real queue with default settings."""
+    return Scheduler(QUEUE_OPTIONS, slots, 0)
+
+
+def poisson_times(
+    random: Random,
+    rate_per_ms: Callable[[float], float],
+    peak_per_ms: float,
+    horizon_ms: float,
+) -> Iterator[float]:
+    """Iterate over arrival times of a process whose rate changes (thinning)."""
+    now_ms = 0.0
+    while peak_per_ms > 0:
+        now_ms += random.expovariate(peak_per_ms)
+        if now_ms > horizon_ms:
+            return
+        if random.random() * peak_per_ms <= rate_per_ms(now_ms):
+            yield now_ms
+
+
+def rows(count: int, slots: int) -> tuple[UpstreamRow, ...]:
+    """Return a pool of one service."""
+    return tuple(
+        UpstreamRow(
+            name=UpstreamId(f'u{index}'),
+            service=ServiceName('orderdesk'),
+            domain=DomainName('nadi-a'),
+            region=RegionName('viti-west'),
+            address=Endpoint('127.0.0.1', 1000 + index),
+            stream_address=None,
+            slots=slots,
+            state=OperatorState.LIVE,
+        )
+        for index in range(count)
+    )
+
+
+class Chooser(Protocol):
+    """What the simulation needs of a choice."""
+
+    def choose(
+        self, flow: FlowId, exclude: frozenset[UpstreamId], now_ms: float
+    ) -> UpstreamId | None: ...
+    def report_load(self, upstream: UpstreamId, load: Load, now_ms: float) -> None: ...
+    def observe(
+        self, upstream: UpstreamId, outcome: Outcome, latency_ms: float, now_ms: float
+    ) -> None: ...
+
+
+class RandomChoice:
+    """Baseline: any upstream with the same probability."""
+
+    def __init__(self, pool: tuple[UpstreamRow, ...], random: Random) -> None:
+        """Remember the pool."""
+        self._names = [row.name for row in pool]
+        self._random = random
+
+    def choose(self, flow, exclude, now_ms) -> UpstreamId | None:
+        """Draw one."""
+        return self._random.choice(self._names)
+
+    def report_load(self, upstream, load, now_ms) -> None:
+        """Ignore the load."""
+
+    def observe(self, upstream, outcome, latency_ms, now_ms) -> None:
+        """Ignore the outcome."""
+
+
+class RoundRobin(RandomChoice):
+    """Baseline: one after the other, from a random start."""
+
+    def choose(self, flow, exclude, now_ms) -> UpstreamId | None:
+        """Take the next one."""
+        self._names.append(self._names.pop(0))
+        return self._names[0]
+
+
+@dataclass(frozen=True)
+class PoolCase:
+    """Circumstances of a selection run."""
+
+    upstreams: int
+    slots: int
+    choosers: int = 9
+    flows_per_upstream: int = 2000
+    fill_ms: float = 20_000
+    horizon_ms: float = 120_000
+    lifetime_ms: float = 60_000
+    # Upstream whose requests run this many times longer.
+    slow: int | None = None
+    slow_factor: float = 3
+    # Upstream that loses all flows and returns at a time.
+    cold: int | None = None
+    cold_at_ms: float = 60_000
+    # Load of one flow, in slot time per time, on a normal upstream.
+    base_utilisation: float = 0.3
+    is_report_honest: bool = True
+
+
+@dataclass
+class PoolResult:
+    """Samples of the open flows and the busy time of each upstream."""
+
+    samples: list[tuple[float, list[int]]] = field(default_factory=list)
+    busy: list[float] = field(default_factory=list)
+    picks: list[tuple[float, int]] = field(default_factory=list)
+
+
+def run_pool(
+    case: PoolCase, make: Callable[[int], Chooser], random: Random
+) -> PoolResult:
+    """
+    Let independent choosers place flows on a pool.
+
+    Each chooser gets a report of each upstream every 0.5 to 1 s that is 0.5 to
+    3 s old.
+    """
+    count = case.upstreams
+    target = case.flows_per_upstream * count
+    choosers = [make(index) for index in range(case.choosers)]
+    flows = [0] * count
+    weights = [0.0] * count
+    incarnation = [0] * count
+    result = PoolResult(busy=[0.0] * count)
+    names = {UpstreamId(f'u{index}'): index for index in range(count)}
+    mean_weight = case.base_utilisation * case.slots / case.flows_per_upstream
+    events: list[tuple[float, int, str, tuple]] = []
+
+    def push(time_ms: float, kind: str, *values) -> None:
+        heapq.heappush(events, (time_ms, next(_serial), kind, values))
+
+    def utilisation(index: int) -> float:
+        factor = case.slow_factor if index == case.slow else 1
+        return weights[index] * factor / case.slots
+
+    def load_of(index: int) -> Load:
+        used = utilisation(index)
+        running = min(case.slots, round(used * case.slots))
+        queued = min(200, int(used**2 / max(0.02, 1 - used)))
+        return Load(flows[index], queued, running, case.slots, True)
+
+    def latency(index: int) -> float:
+        factor = case.slow_factor if index == case.slow else 1
+        return 20 * factor / max(0.05, 1 - utilisation(index))
+
+    filling = poisson_times(
+        random, lambda _now: 1, target / case.fill_ms, case.fill_ms * 1.0
+    )
+    for time_ms in filling:
+        push(time_ms, 'open')
+    steady = target / case.lifetime_ms
+    for time_ms in poisson_times(random, lambda _now: steady, steady, case.horizon_ms):
+        if time_ms > case.fill_ms:
+            push(time_ms, 'open')
+    for chooser in range(case.choosers):
+        for index in range(count):
+            push(random.uniform(0, 1000), 'measure', chooser, index)
+    for time_ms in range(1000, int(case.horizon_ms), 1000):
+        push(time_ms, 'sample')
+    if case.cold is not None:
+        push(case.cold_at_ms, 'restart', case.cold)
+    while events:
+        now_ms, _serial_number, kind, values = heapq.heappop(events)
+        if now_ms > case.horizon_ms:
+            break
+        if kind == 'open':
+            flow = FlowId(random.randbytes(16))
+            chooser = random.randrange(case.choosers)
+            name = choosers[chooser].choose(flow, frozenset(), now_ms)
+            index = names[name]
+            result.picks.append((now_ms, index))
+            weight = random.lognormvariate(-0.5, 1) * mean_weight
+            flows[index] += 1
+            weights[index] += weight
+            lifetime_ms = random.expovariate(1 / case.lifetime_ms)
+            if now_ms < case.fill_ms:
+                lifetime_ms += case.fill_ms - now_ms
+            push(now_ms + lifetime_ms, 'close', index, weight, incarnation[index])
+            push(
+                now_ms + latency(index), 'outcome', chooser, name, now_ms, latency(index)
+            )
+        elif kind == 'close' and incarnation[values[0]] == values[2]:
+            flows[values[0]] -= 1
+            weights[values[0]] -= values[1]
+        elif kind == 'outcome':
+            choosers[values[0]].observe(values[1], Outcome.DONE, values[3], now_ms)
+        elif kind == 'measure':
+            chooser, index = values
+            delay_ms = random.uniform(500, 3000)
+            push(now_ms + delay_ms, 'report', chooser, index, load_of(index))
+            push(now_ms + random.uniform(500, 1000), 'measure', chooser, index)
+        elif kind == 'report':
+            chooser, index, load = values
+            choosers[chooser].report_load(UpstreamId(f'u{index}'), load, now_ms)
+        elif kind == 'restart':
+            index = values[0]
+            # Its callers open their flows again within a second.
+            for _ in range(flows[index]):
+                push(now_ms + random.uniform(0, 1000), 'open')
+            flows[index], weights[index] = 0, 0.0
+            incarnation[index] += 1
+            for chooser in choosers:
+                restart(chooser, index, case, now_ms)
+        elif kind == 'sample':
+            result.samples.append((now_ms, list(flows)))
+            for index in range(count):
+                busy = min(1, utilisation(index)) if now_ms > case.fill_ms else 0
+                result.busy[index] += busy
+    return result
+
+
+def restart(chooser: Chooser, index: int, case: PoolCase, now_ms: float) -> None:
+    """Show a real chooser that an upstream was gone and is back."""
+    if isinstance(chooser, Selection):
+        pool = rows(case.upstreams, case.slots)
+        others = tuple(row for row in pool if row.name != f'u{index}')
+        chooser.set_upstreams(others, now_ms)
+        chooser.set_upstreams(pool, now_ms)
+
+
+def real_choice(
+    case: PoolCase, candidates: int = selection.CANDIDATES
+) -> Callable[[int], Selection]:
+    """Return a factory of the real choice over the pool of a case."""
+
+    def make(_index: int) -> Selection:
+        made = Selection(SELECTION_OPTIONS, candidates)
+        made.set_upstreams(rows(case.upstreams, case.slots), 0)
+        return made
+
+    return make
