--- a/src/cardamomtiller/home.py
+++ b/src/cardamomtiller/home.py
@@ -50,9 +50,9 @@
         """Learn how a request at an upstream ended."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class HomeIdentity:
-    """The instance that serves."""
+    """The instance that serves; its incarnation may rise."""
 
     instance: InstanceId
     incarnation: Incarnation
--- /dev/null
+++ b/src/cardamomtiller/instance.py
@@ -0,0 +1,559 @@
+"""One process: wiring, start, change of views, graceful stop."""
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+from loguru import logger
+
+from cardamomtiller import ini, membership, reader
+from cardamomtiller.admission import Admission, Permit
+from cardamomtiller.assignment import OwnerTable
+from cardamomtiller.catalog import Catalog
+from cardamomtiller.cookie import CookieSealer
+from cardamomtiller.counter import Counters, StatsdSender
+from cardamomtiller.dataplane import DataPlane
+from cardamomtiller.document import InstanceRow
+from cardamomtiller.exchange import LeasePart, LoadPart
+from cardamomtiller.home import HomeIdentity, ServingParts
+from cardamomtiller.identity import (
+    MS_PER_S,
+    CustomerId,
+    DomainName,
+    Endpoint,
+    InstanceId,
+    OperatorState,
+    RegionName,
+    ServiceName,
+    parse_endpoint,
+)
+from cardamomtiller.invariant import Invariants
+from cardamomtiller.lease import LeaseAgent
+from cardamomtiller.log import LogFormat, set_up_log
+from cardamomtiller.membership import Membership, make_incarnation
+from cardamomtiller.peer import ControlParts, Peer, PeerOptions
+from cardamomtiller.reader import Intake, Reader, choose_role
+from cardamomtiller.record import DuplicateRecord
+from cardamomtiller.relay import FewestConnections, Relay, RelayOptions, StreamLimit
+from cardamomtiller.routing import RoutingView
+from cardamomtiller.serving import ServedUpstream
+from cardamomtiller.settings_pb2 import Settings
+from cardamomtiller.snapshot import SnapshotStore
+from cardamomtiller.source import open_source
+from cardamomtiller.status import Json, StatusProvider, StatusServer
+
+CONTROL_TICK_MS = 25
+# Callers and peers need this long to learn that a stopping instance has moved
+# its flows: two keepalives and one round of gossip.
+LEAST_STOP_KEEPALIVES = 3
+EXIT_OK = 0
+EXIT_CANNOT_START = 1
+THREADS = 2
+SIGNAL_POLL_S = 0.2
+
+
+class FlowLimit(StreamLimit):
+    """Charge plain TCP connections to the open flows of a customer."""
+
+    def __init__(self, admission: Admission) -> None:
+        """Start without connections."""
+        self._admission = admission
+        self._permits: dict[CustomerId, list[Permit]] = {}
+
+    def admit(self, customer: CustomerId, now_ms: float) -> bool:
+        """Return whether one more connection is within the allowance."""
+        admitted = self._admission.admit_flow(customer, now_ms).value_or(None)
+        if admitted is None:
+            return False
+        self._permits.setdefault(customer, []).append(admitted)
+        return True
+
+    def release(self, customer: CustomerId, now_ms: float) -> None:
+        """Return an admitted connection."""
+        self._admission.release(self._permits[customer].pop(), now_ms)
+
+
+class Instance(StatusProvider):
+    """One instance of the load balancer."""
+
+    def __init__(self, settings: Settings, now_ms: float, unix_ms: float) -> None:
+        """Wire the parts; nothing is bound yet."""
+        self.settings = settings
+        self.count = Counters()
+        self.row = _own_row(settings)
+        entropy = int.from_bytes(os.urandom(8), 'big')
+        incarnation = make_incarnation(unix_ms, entropy)
+        self.membership = Membership(
+            self.row,
+            membership.read_options(settings.membership),
+            incarnation,
+            now_ms,
+            self.count,
+        )
+        self.lease = LeaseAgent(self.row.name, incarnation, settings.lease, now_ms)
+        self.admission = Admission(self.lease, settings.lease.burst_ms)
+        self.store = SnapshotStore()
+        self._identity = HomeIdentity(self.row.name, incarnation)
+        self._intake = Intake(self.store, self.count, self._take_configuration)
+        self._sealer = CookieSealer()
+        self._owners = OwnerTable()
+        self._keys = tuple(_cluster_keys(settings))
+        self.data = DataPlane(
+            self._routing_view(),
+            settings,
+            self._sealer,
+            self.count,
+            self._keys,
+        )
+        self._lease_part = LeasePart(self.lease)
+        self._peer = self._make_peer()
+        self._reader = self._make_reader(entropy)
+        self._relay = self._make_relay()
+        self._routed: tuple[object, object, object] | None = None
+        self._stop = asyncio.Event()
+        self._reload = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_stopping = False
+
+    # Wiring
+
+    def _make_peer(self) -> Peer:
+        parts = ControlParts(
+            self.membership,
+            self.store.digest,
+            (self._lease_part, LoadPart(self.data.loads, self.data.report_load)),
+        )
+        options = PeerOptions(
+            address=self.row.peer_address,
+            keys=self._keys,
+            timeout_ms=self.settings.membership.probe_timeout_ms,
+        )
+        return Peer(
+            options,
+            self.membership,
+            parts,
+            self._intake,
+            _now_ms,
+            self.count,
+        )
+
+    def _make_reader(self, seed: int) -> Reader:
+        return Reader(
+            open_source(self.settings.source),
+            self._intake,
+            reader.read_options(self.settings.source),
+            self._role,
+            _now_ms,
+            self.count,
+            seed,
+        )
+
+    def _make_relay(self) -> Relay:
+        options = RelayOptions(
+            connect_timeout_ms=self.settings.relay.connect_timeout_ms,
+            idle_timeout_ms=self.settings.relay.idle_timeout_ms,
+            buffer_bytes=self.settings.relay.buffer_bytes,
+        )
+        chooser = FewestConnections(self._catalog, self.row.name)
+        limit = FlowLimit(self.admission)
+        return Relay(options, self._catalog, chooser, limit, self.count)
+
+    def _parts(self) -> ServingParts:
+        flow = self.settings.flow
+        invariant = self.settings.invariant
+        return ServingParts(
+            home=self._identity,
+            settings=self.settings,
+            sealer=self._sealer,
+            record=DuplicateRecord(flow.cookie_lifetime_ms + flow.longest_timeout_ms),
+            admission=self.admission,
+            outlet=self.data,
+            counters=self.count,
+            invariants=Invariants(self.count, is_enabled=invariant.is_enabled),
+            clock_ms=_now_ms,
+            generator=random.Random(self._identity.incarnation),
+        )
+
+    def _catalog(self) -> Catalog:
+        return self.store.catalog
+
+    def _role(self) -> reader.Role:
+        view = self.membership.current_view()
+        serving = view.serving_in(self.row.domain)
+        watchers = self.settings.source.watchers
+        return choose_role(self.row.name, self.row.domain, serving, watchers)
+
+    # Life
+
+    async def run(self) -> int:
+        """
+        Serve until asked to stop.
+
+        Returns
+        -------
+        int
+            Exit code of the process.
+        """
+        try:
+            await self._start()
+        except OSError as error:
+            logger.error('cannot start: {}', error)
+            return EXIT_CANNOT_START
+        status = await self._start_status()
+        logger.info(
+            'instance {} of {} started, incarnation {}',
+            self.row.name,
+            self.row.domain,
+            self._identity.incarnation,
+        )
+        await self._stop.wait()
+        await self._drain()
+        if status:
+            status.stop()
+        await self._close()
+        logger.info('instance {} stopped', self.row.name)
+        return EXIT_OK
+
+    def request_stop(self) -> None:
+        """Begin a graceful stop."""
+        self._stop.set()
+
+    def request_reload(self) -> None:
+        """Read the configuration service now."""
+        self._reload.set()
+
+    async def _start(self) -> None:
+        self.data.start(self.row.peer_address, self._parts())
+        self._open_settings_addresses()
+        await self._peer.start()
+        self._spawn(self._peer.run())
+        self._spawn(self.data.run())
+        self._spawn(self._control())
+        await self._reader.start(self._ask_seeds)
+        self._spawn(self._reader.run())
+        self._spawn(self._reload_on_request())
+
+    async def _ask_seeds(self) -> None:
+        seeds = ini.parse_endpoints(self.settings.source.seed_peers)
+        await self._peer.ask_seeds(seeds)
+
+    def _open_settings_addresses(self) -> None:
+        text = self.settings.entrance.datagram_addresses
+        for service, address in ini.parse_named_endpoints(text):
+            self.data.add_service(ServiceName(service), address)
+
+    def _open_published_addresses(self) -> None:
+        if self.settings.entrance.datagram_addresses:
+            return
+        for service in self.store.catalog.services.values():
+            for address in service.datagram_addresses:
+                self._open_address(service.name, address)
+
+    def _open_address(self, service: ServiceName, address: Endpoint) -> None:
+        if self.data.listens_on(service, address):
+            return
+        try:
+            self.data.add_service(service, address)
+        except OSError as error:
+            self.count.add('entrance.bind_failed')
+            logger.error('cannot listen on {} of {}: {}', address, service, error)
+
+    async def _start_status(self) -> StatusServer | None:
+        if not self.settings.instance.status_address:
+            return None
+        address = parse_endpoint(self.settings.instance.status_address)
+        server = StatusServer(self, address)
+        try:
+            await server.start()
+        except OSError as error:
+            logger.error('no status endpoint on {}: {}', address, error)
+            return None
+        return server
+
+    async def _reload_on_request(self) -> None:
+        while True:
+            await self._reload.wait()
+            self._reload.clear()
+            logger.info('configuration is read on request')
+            await self._reader.read_once()
+
+    # The picture of the world
+
+    def _take_configuration(self, now_ms: float) -> None:
+        catalog = self.store.catalog
+        logger.info('configuration taken: {}', _version_text(self.store))
+        self.membership.set_published(catalog.instances.values(), now_ms)
+        self.lease.set_plans(catalog, now_ms)
+        self._open_published_addresses()
+        self._spawn(self._listen_streams())
+        own = catalog.instances.get(self.row.name)
+        if own and not self._is_stopping:
+            self.membership.set_live(now_ms)
+            if own.state is OperatorState.LEAVING:
+                logger.info('the published list says that this instance leaves')
+                self._stop.set()
+
+    async def _listen_streams(self) -> None:
+        text = self.settings.entrance.stream_addresses
+        if text:
+            named = ini.parse_named_endpoints(text)
+            wanted = [(ServiceName(name), address) for name, address in named]
+        else:
+            services = self.store.catalog.services.values()
+            wanted = [
+                (service.name, address)
+                for service in services
+                for address in service.stream_addresses
+            ]
+        for finding in await self._relay.listen(wanted):
+            logger.error('{}', finding)
+
+    async def _control(self) -> None:
+        while True:
+            now_ms = _now_ms()
+            self._update_view(now_ms)
+            self.admission.publish_demand(now_ms)
+            for target in set(self._lease_part.collect(now_ms)):
+                self._spawn(self._exchange(target))
+            await asyncio.sleep(CONTROL_TICK_MS / MS_PER_S)
+
+    async def _exchange(self, target: InstanceId) -> None:
+        if not await self._peer.send_now(target):
+            self.count.add('lease.report_unanswered')
+
+    def _update_view(self, now_ms: float) -> None:
+        view = self.membership.view(now_ms)
+        catalog = self.store.catalog
+        key = (view, catalog, self.membership.incarnation)
+        if self._routed and all(
+            one is other for one, other in zip(key, self._routed, strict=True)
+        ):
+            return
+        self._routed = key
+        self._identity.incarnation = self.membership.incarnation
+        self._set_lease_view(now_ms)
+        self.data.set_view(self._routing_view(), now_ms)
+
+    def _set_lease_view(self, now_ms: float) -> None:
+        view = self.membership.current_view()
+        count = max(1, len(self.store.catalog.instances))
+        self.lease.set_view(self.row.domain, view.serving, count, now_ms)
+
+    def _routing_view(self) -> RoutingView:
+        view = self.membership.current_view()
+        catalog = self.store.catalog
+        owners = self._owners.owners(tuple(catalog.upstreams.values()), view)
+        return RoutingView(
+            own=self.row.name,
+            incarnation=self._identity.incarnation,
+            own_incarnations=frozenset(self.membership.own_incarnations),
+            catalog=catalog,
+            homes=view,
+            owners=owners,
+        )
+
+    # Stop
+
+    async def _drain(self) -> None:
+        """Move every flow away and let what runs finish."""
+        self._is_stopping = True
+        logger.info('graceful stop begins')
+        began_ms = _now_ms()
+        self.membership.leave(began_ms)
+        timeout_ms = self.settings.instance.stop_timeout_ms
+        streams = asyncio.create_task(self._relay.stop(timeout_ms))
+        least_ms = LEAST_STOP_KEEPALIVES * self.settings.flow.keepalive_ms
+        while _now_ms() - began_ms < timeout_ms:
+            await asyncio.sleep(CONTROL_TICK_MS / MS_PER_S)
+            self.data.retire_all(_now_ms())
+            is_told = _now_ms() - began_ms >= least_ms
+            if is_told and streams.done() and self.data.is_drained:
+                break
+        else:
+            logger.warning('graceful stop timed out after {} ms', timeout_ms)
+        await streams
+
+    async def _close(self) -> None:
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.data.close()
+        await self._peer.stop()
+        await self._reader.close()
+
+    def _spawn(self, work: 'asyncio._CoroutineLike[None]') -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            self.count.add('task.failed')
+            logger.opt(exception=task.exception()).error('a task failed')
+
+    # Status
+
+    def status(self) -> Json:
+        """Return name, state, versions, peers and owned upstreams."""
+        view = self.membership.current_view()
+        return {
+            'instance': self.row.name,
+            'failure_domain': self.row.domain,
+            'region': self.row.region,
+            'incarnation': str(self._identity.incarnation),
+            'state': self.membership.state.name,
+            'is_late': self.membership.is_late(_now_ms()),
+            'is_stopping': self._is_stopping,
+            'versions': dict(sorted(self.store.versions().items())),
+            'findings': [str(finding) for finding in self._reader.findings()],
+            'members': {
+                name: member.state.name for name, member in sorted(view.members.items())
+            },
+            'upstreams': [
+                {
+                    'name': served.row.name,
+                    'is_owner': served.is_owner,
+                    'is_up': served.home.is_up,
+                    'open_flows': len(served.home.flows),
+                    'queued': served.requests.scheduler.queued(),
+                    'running': served.requests.scheduler.running(),
+                }
+                for served in self._served()
+            ],
+            'stream_connections': self._relay.open_connections,
+        }
+
+    def flows(self) -> Json:
+        """Return the flows that are served here."""
+        return [
+            {
+                'flow': row.flow.hex(),
+                'service': row.service,
+                'customer': row.customer,
+                'upstream': served.row.name,
+                'caller': str(row.caller),
+                'generation': row.generation,
+                'is_home': row.is_home,
+            }
+            for served in self._served()
+            for row in served.home.rows.values()
+        ]
+
+    def counters(self) -> Json:
+        """Return the counters and gauges."""
+        return {
+            'instance': self.row.name,
+            'counters': dict(sorted(self.count.counts().items())),
+            'gauges': dict(sorted(self.count.gauges().items())),
+        }
+
+    def _served(self) -> Iterator[ServedUpstream]:
+        for name in sorted(self.data.served):
+            yield self.data.served[name].home
+
+
+class _Runner:
+    """Run the event loop in a thread of the pool; signals come to the main one."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._is_started = threading.Event()
+        self._is_done = threading.Event()
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._instance: Instance | None = None
+
+    def serve(self) -> int:
+        """Run the instance; called in its own thread."""
+        try:
+            return asyncio.run(self._serve())
+        finally:
+            self._is_started.set()
+            self._is_done.set()
+
+    async def _serve(self) -> int:
+        self._loop = asyncio.get_running_loop()
+        unix_ms = time.time() * MS_PER_S
+        self._instance = Instance(self._settings, _now_ms(), unix_ms)
+        self._is_started.set()
+        return await self._instance.run()
+
+    def send_metrics(self) -> None:
+        """Send metrics until the instance has stopped."""
+        self._is_started.wait()
+        metric = self._settings.metric
+        if self._instance is None or not metric.statsd_address:
+            return
+        address = parse_endpoint(metric.statsd_address)
+        sender = StatsdSender(self._instance.count, address, metric.prefix)
+        sender.run(metric.interval_ms / MS_PER_S, self._is_done)
+
+    def wait(self) -> None:
+        """Handle signals until the instance has stopped."""
+        self._is_started.wait()
+        signal.signal(signal.SIGTERM, self._request_stop)
+        signal.signal(signal.SIGINT, self._request_stop)
+        signal.signal(signal.SIGHUP, self._request_reload)
+        # A wait without a timeout would hold signals back.
+        while not self._is_done.wait(SIGNAL_POLL_S):
+            continue
+
+    def _request_stop(self, *_arguments: object) -> None:
+        if self._loop and self._instance:
+            self._loop.call_soon_threadsafe(self._instance.request_stop)
+
+    def _request_reload(self, *_arguments: object) -> None:
+        if self._loop and self._instance:
+            self._loop.call_soon_threadsafe(self._instance.request_reload)
+
+
+def run_instance(settings: Settings) -> int:
+    """
+    Run one instance until SIGTERM or SIGINT.
+
+    Returns
+    -------
+    int
+        Exit code of the process.
+    """
+    form = LogFormat(settings.log.format)
+    set_up_log(form, settings.log.level, settings.instance.name, sys.stderr)
+    runner = _Runner(settings)
+    with ThreadPoolExecutor(THREADS) as pool:
+        serving = pool.submit(runner.serve)
+        sending = pool.submit(runner.send_metrics)
+        runner.wait()
+        sending.result()
+        return serving.result()
+
+
+def _own_row(settings: Settings) -> InstanceRow:
+    return InstanceRow(
+        name=InstanceId(settings.instance.name),
+        domain=DomainName(settings.instance.failure_domain),
+        region=RegionName(settings.instance.region),
+        peer_address=parse_endpoint(settings.instance.peer_address),
+        state=OperatorState.LIVE,
+    )
+
+
+def _cluster_keys(settings: Settings) -> Iterator[bytes]:
+    instance = settings.instance
+    for text in (instance.cluster_key, instance.previous_cluster_key):
+        if text:
+            yield bytes.fromhex(text)
+
+
+def _version_text(store: SnapshotStore) -> str:
+    versions = store.versions()
+    return ', '.join(f'{name} {versions[name]}' for name in sorted(versions))
+
+
+def _now_ms() -> float:
+    return time.monotonic() * MS_PER_S
--- a/src/cardamomtiller/routing.py
+++ b/src/cardamomtiller/routing.py
@@ -1,6 +1,5 @@
 """Decide where a caller's datagram goes."""
 
-from abc import ABC, abstractmethod
 from collections import OrderedDict
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
@@ -19,6 +18,7 @@
     ServiceName,
     UpstreamId,
 )
+from cardamomtiller.membership import View
 from cardamomtiller.selection import Selection
 from cardamomtiller.wire_pb2 import Cookie, Packet, Reason
 
@@ -30,14 +30,6 @@
 )
 
 
-class HomeView(ABC):
-    """What routing needs to know of the other instances."""
-
-    @abstractmethod
-    def is_home_alive(self, instance: InstanceId, incarnation: Incarnation) -> bool:
-        """Return whether this incarnation of an instance is not known dead."""
-
-
 @dataclass(frozen=True, slots=True)
 class Local:
     """Serve the packet on this instance."""
@@ -83,8 +75,10 @@
     own: InstanceId
     incarnation: Incarnation
     catalog: Catalog
-    homes: HomeView
+    homes: View
     owners: Mapping[UpstreamId, InstanceId] = field(default_factory=dict)
+    # A process takes a higher incarnation when its clock had stepped back.
+    own_incarnations: frozenset[Incarnation] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,7 +209,7 @@
             return self._route_to_owner(inbound, local)
         home = InstanceId(cookie.home)
         incarnation = Incarnation(cookie.home_incarnation)
-        if home == self.view.own and incarnation == self.view.incarnation:
+        if home == self.view.own and incarnation in self.view.own_incarnations:
             return local
         if home == self.view.own or not self.view.homes.is_home_alive(
             home,
