--- a/src/cardamomtiller/allowance.py
+++ b/src/cardamomtiller/allowance.py
@@ -13,6 +13,11 @@
 # One step of single precision: amounts on the wire are rounded down by it.
 WIRE_ROUNDING = 1.2e-7
 
+# Two clocks that are each wrong by 0.1% differ by 0.2%; both sides keep this
+# margin, so that together they tolerate 0.5%.
+CLOCK_MARGIN = 0.0025
+RECLAIM_MARGIN = 0.01
+
 
 @dataclass(frozen=True, slots=True)
 class Allowance:
@@ -95,7 +100,45 @@
 NOTHING = Allowance()
 
 
-def from_wire(message: AllowanceVector) -> Allowance:
+@dataclass(frozen=True, slots=True)
+class LeaseTimes:
+    """
+    Periods of the lease protocol, with a margin for errors of the clock rate.
+
+    A holder ends a lease early and waits longer; a grantor does the reverse.
+    """
+
+    lease_ms: float
+    silence_ms: float
+
+    @property
+    def held_ms(self) -> float:
+        """Return how long a holder uses a lease."""
+        return self.lease_ms * (1 - CLOCK_MARGIN)
+
+    @property
+    def outstanding_ms(self) -> float:
+        """Return how long a grantor counts a lease as used."""
+        return self.lease_ms * (1 + CLOCK_MARGIN)
+
+    @property
+    def reclaim_ms(self) -> float:
+        """
+        Return how long an instance waits before it reclaims its floors.
+
+        Its grantor may count the pledge for a silence, and the root grantor may
+        count the domain's pledge for another; the shares last one lease.
+        """
+        total_ms = 2 * self.silence_ms + self.lease_ms
+        return total_ms * (1 + RECLAIM_MARGIN)
+
+    @property
+    def domain_reclaim_ms(self) -> float:
+        """Return how long a grantor waits before it reclaims its pool."""
+        return (self.silence_ms + self.lease_ms) * (1 + RECLAIM_MARGIN)
+
+
+def read_vector(message: AllowanceVector) -> Allowance:
     """Return the vector of a message; parts that are no amount count as zero."""
     return Allowance(
         _amount(message.rate_per_s),
@@ -135,16 +178,16 @@
     return math.floor(amount + UNIT_TOLERANCE)
 
 
-def fair_part(demands: Sequence[float], index: int, pool: float) -> float:
+def fair_part(demands: Sequence[float], own: float, pool: float) -> float:
     """
     Return one part of a max-min fair division.
 
     Parameters
     ----------
     demands
-        What each holder asks for.
-    index
-        The holder whose part is returned.
+        What each holder asks for, the own demand included.
+    own
+        The demand whose part is returned.
     pool
         What is divided.
 
@@ -153,17 +196,64 @@
     float
         The demand, as far as the pool allows, and an equal part of the rest.
     """
-    own = demands[index]
     total = math.fsum(demands)
     if total <= pool:
         return own + (pool - total) / len(demands)
+    return min(own, _fair_level(demands, pool))
+
+
+def fair_units(
+    demands: Sequence[float],
+    index: int,
+    pool: float,
+    rotation: int,
+) -> int:
+    """
+    Return one part of a max-min fair division of whole units.
+
+    Parameters
+    ----------
+    demands
+        What each holder asks for, in the same order at every call.
+    index
+        The holder whose part is returned.
+    pool
+        What is divided; a part of a unit is not given.
+    rotation
+        Units that cannot be divided go to holders in turn, from this one on.
+
+    Returns
+    -------
+    int
+        Whole units; the parts of all holders add up to at most the pool.
+    """
+    units = whole(pool)
+    wanted = [math.ceil(demand) for demand in demands]
+    total = sum(wanted)
+    if total <= units:
+        base, extra = divmod(units - total, len(wanted))
+        return wanted[index] + base + (_turn(wanted, index, rotation) < extra)
+    level = math.floor(_fair_level(wanted, units) + UNIT_TOLERANCE)
+    extra = units - sum(min(want, level) for want in wanted)
+    if wanted[index] <= level:
+        return wanted[index]
+    unmet = [position for position, want in enumerate(wanted) if want > level]
+    return level + (_turn(unmet, unmet.index(index), rotation) < extra)
+
+
+def _turn(holders: Sequence[int], index: int, rotation: int) -> int:
+    return (index - rotation) % len(holders)
+
+
+def _fair_level(demands: Sequence[float], pool: float) -> float:
     rest = pool
-    for position, demand in enumerate(sorted(demands)):
-        level = rest / (len(demands) - position)
-        if demand >= level or demand >= own:
-            return min(own, level)
+    left = len(demands)
+    for demand in sorted(demands):
+        if demand * left >= rest:
+            break
         rest -= demand
-    return min(own, rest)
+        left -= 1
+    return rest / max(1, left)
 
 
 def _amount(value: float) -> float:
--- /dev/null
+++ b/src/cardamomtiller/traffic.py
@@ -0,0 +1,117 @@
+"""Measured demand of one customer on one instance."""
+
+from dataclasses import dataclass, field
+
+from cardamomtiller.allowance import Allowance
+from cardamomtiller.identity import MS_PER_S
+
+BIN_MS = 250.0
+# Demand is the larger of the last two windows, so that it does not follow every
+# gap between requests.
+WINDOW_BINS = 4
+BINS = 2 * WINDOW_BINS
+# Fewer requests say too little about a rate over less than a window.
+LEAST_FAST_COUNT = 8
+
+
+@dataclass(slots=True)
+class _Bin:
+    """Counts of ``BIN_MS``; stocks are their highest level."""
+
+    offered: int = 0
+    requests: int = 0
+    flows: int = 0
+    bytes_in_flight: int = 0
+    refused_requests: int = 0
+    refused_flows: int = 0
+    refused_bytes: int = 0
+
+    def stocks(self) -> tuple[int, int, int]:
+        """Return the demand for stocks, refusals included."""
+        return (
+            self.requests + self.refused_requests,
+            self.flows + self.refused_flows,
+            self.bytes_in_flight + self.refused_bytes,
+        )
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Stocks in use, and demand over the last windows, refusals included."""
+
+    begin_ms: float
+    requests: int = 0
+    flows: int = 0
+    bytes_in_flight: int = 0
+    bins: list[_Bin] = field(default_factory=lambda: [_Bin()])
+
+    def roll(self, now_ms: float) -> _Bin:
+        """Return the bin of now, after new ones for the time that passed."""
+        passed = int((now_ms - self.begin_ms) / BIN_MS)
+        if passed > 0:
+            self.begin_ms += passed * BIN_MS
+            for _ in range(min(passed, BINS)):
+                self.bins.append(
+                    _Bin(0, self.requests, self.flows, self.bytes_in_flight)
+                )
+            del self.bins[:-BINS]
+        return self.bins[-1]
+
+    def offer_request(self, now_ms: float) -> None:
+        """Count a request before it is admitted or refused."""
+        if now_ms - self.begin_ms >= BIN_MS:
+            self.roll(now_ms)
+        self.bins[-1].offered += 1
+
+    def admit_request(self, bytes_count: int) -> None:
+        """Count an admitted request as in use."""
+        self.requests += 1
+        self.bytes_in_flight += bytes_count
+        current = self.bins[-1]
+        if self.requests > current.requests:
+            current.requests = self.requests
+        if self.bytes_in_flight > current.bytes_in_flight:
+            current.bytes_in_flight = self.bytes_in_flight
+
+    def refuse_request(self, bytes_count: int) -> None:
+        """Count a request that was refused for want of requests or bytes."""
+        current = self.bins[-1]
+        current.refused_requests += 1
+        current.refused_bytes += bytes_count
+
+    def admit_flow(self, now_ms: float) -> None:
+        """Count an admitted flow as open."""
+        current = self.roll(now_ms)
+        self.flows += 1
+        current.flows = max(current.flows, self.flows)
+
+    def refuse_flow(self, now_ms: float) -> None:
+        """Count a refused flow."""
+        self.roll(now_ms).refused_flows += 1
+
+    def demand(self, now_ms: float) -> Allowance:
+        """Return the demand now, refusals included."""
+        self.roll(now_ms)
+        stocks = zip(*(row.stocks() for row in self.bins[-WINDOW_BINS:]), strict=True)
+        return Allowance(self._rate_per_s(now_ms), *(max(levels) for levels in stocks))
+
+    def use(self) -> Allowance:
+        """Return the stocks in use."""
+        return Allowance(0, self.requests, self.flows, self.bytes_in_flight)
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing is in use and nothing was asked for lately."""
+        if self.requests or self.flows or self.bytes_in_flight:
+            return False
+        return not any(row.offered or any(row.stocks()) for row in self.bins)
+
+    def _rate_per_s(self, now_ms: float) -> float:
+        counts = [row.offered for row in self.bins]
+        window_s = WINDOW_BINS * BIN_MS / MS_PER_S
+        windows = (sum(counts[-WINDOW_BINS:]), sum(counts[:-WINDOW_BINS]))
+        rate_per_s = max(windows) / window_s
+        recent = sum(counts[-2:])
+        if recent < LEAST_FAST_COUNT:
+            return rate_per_s
+        recent_ms = now_ms - self.begin_ms + (BIN_MS if len(counts) > 1 else 0)
+        return max(rate_per_s, recent * MS_PER_S / max(recent_ms, BIN_MS))
