--- /dev/null
+++ b/tests/features/live.feature
@@ -0,0 +1,86 @@
+@live
+Feature: The invariants hold between real processes when parts of them fail
+
+  Scenario: A killed instance breaks no flow, and nothing that it ran is run again
+    When a live deployment runs through these events
+      | at_s | action             |
+      | 1    | kill owner:desk-u1 |
+    Then every invariant holds
+    And flows were resumed
+
+  Scenario: An instance that pauses and comes back late runs nothing for flows that moved
+    When a live deployment runs through these events
+      | at_s | action                |
+      | 1    | pause owner:desk-u1 4 |
+    Then every invariant holds
+    And flows were resumed
+
+  Scenario: Two failure domains that are cut off from each other keep their flows
+    Given the live deployment has a faulty network
+    When a live deployment runs through these events
+      | at_s | action        |
+      | 1    | partition a b |
+      | 5    | heal          |
+    Then every invariant holds
+
+  Scenario: Without the configuration service, instances serve and take over with what they have
+    When a live deployment runs through these events
+      | at_s | action             |
+      | 0    | platform down      |
+      | 1    | kill owner:desk-u1 |
+      | 6    | platform up        |
+    Then every invariant holds
+    And flows were resumed
+
+  Scenario: A draining upstream gets no new flow after 3 s and keeps its open ones
+    When a live deployment runs through these events
+      | at_s | action        |
+      | 1    | drain desk-u1 |
+    Then every invariant holds
+    And no upstream got a new flow later than 3 s after its drain began
+
+  Scenario: The replacement of every instance in turn cuts off no flow and no request
+    Given the live deployment runs for 24 s
+    When a live deployment runs through these events
+      | at_s | action      |
+      | 1    | replace_all |
+    Then every invariant holds
+    And flows were resumed
+    And no request was cut off
+
+  Scenario: A restarted upstream loses its own flows only, and requests on it are not repeated
+    When a live deployment runs through these events
+      | at_s | action          |
+      | 1    | restart desk-u1 |
+    Then every invariant holds
+
+  Scenario: A silent path between the callers and one instance breaks no flow
+    When a live deployment runs through these events
+      | at_s | action                                                 |
+      | 1    | rule fabric to source=caller target=a/a-i1 cut=1       |
+      | 1    | rule fabric from source=a/a-i1 target=caller cut=1     |
+    Then every invariant holds
+
+  Scenario: Lost, doubled and reordered packets run nothing twice
+    When a live deployment runs through these events
+      | at_s | action                                                     |
+      | 0    | rule fabric bad loss=0.1 duplicate=0.2 reorder=0.2         |
+    Then every invariant holds
+
+  Scenario: A kill during a pause, a drain and packet loss breaks no flow
+    When a live deployment runs through these events
+      | at_s | action                                          |
+      | 0    | rule fabric bad loss=0.05 duplicate=0.1         |
+      | 1    | pause owner:desk-u1 3                           |
+      | 1.5  | kill owner:desk-u3                              |
+      | 2    | drain desk-u2                                   |
+    Then every invariant holds
+    And flows were resumed
+
+  Scenario: A change of plans is in force everywhere within 2 s
+    Given the live deployment runs for 4 s
+    When a live deployment runs through these events
+      | at_s | action                       |
+      | 1    | publish wide rate_per_s=400  |
+    Then every invariant holds
+    And the change was in force after 2 s at the latest
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -22,6 +22,7 @@
 PROXIED = 'proxied'
 READY_TIMEOUT_S = 15
 STOP_TIMEOUT_S = 40
+LOG_TAIL = 2000
 # Time that a new instance gets to learn documents and peers before it is
 # published as live.
 JOIN_S = 1.0
@@ -332,9 +333,25 @@
             await wait_for_listener(admin, READY_TIMEOUT_S)
 
     async def wait_ready(self, names: list[str] | None = None) -> None:
-        """Wait until the status endpoints of instances answer."""
+        """
+        Wait until the status endpoints of instances answer.
+
+        Raises
+        ------
+        RuntimeError
+            If an instance has ended, with the end of its log.
+        """
         for name in names or list(self.instances):
-            await wait_for_listener(self.instances[name].status, READY_TIMEOUT_S)
+            waiting = asyncio.create_task(
+                wait_for_listener(self.instances[name].status, READY_TIMEOUT_S)
+            )
+            while not waiting.done():
+                await asyncio.wait((waiting,), timeout=0.2)
+                if self.processes.running[name].poll() is not None:
+                    waiting.cancel()
+                    log = self.processes.log_of(name)[-LOG_TAIL:]
+                    raise RuntimeError(f'{name} has ended:\n{log}')
+            await waiting
 
     async def _configure_proxies(self) -> None:
         rows = [
--- a/tools/plan.py
+++ b/tools/plan.py
@@ -99,19 +99,26 @@
     ValueError
         If a key or section is unknown or a value is malformed.
     """
+    return parse_plan(path.read_text(), str(path), changes)
+
+
+def parse_plan(
+    text: str, source: str, changes: Mapping[str, str] | None = None
+) -> ScenarioPlan:
+    """Read a scenario from text, see ``load_plan``."""
     parser = configparser.ConfigParser(
         interpolation=None, inline_comment_prefixes=('#',)
     )
-    parser.read_string(path.read_text(), str(path))
+    parser.read_string(text, source)
     sections = {name: dict(parser[name]) for name in parser.sections()}
     general = {**sections.pop('scenario', {}), **(changes or {})}
     scale = float(general.get('flow_scale', '1'))
     latency = sections.pop('latency', {})
     unknown = [name for name in sections if name.split()[0] not in _KINDS]
     if unknown:
-        raise ValueError(f'{path}: unknown sections {unknown}')
+        raise ValueError(f'{source}: unknown sections {unknown}')
     return ScenarioPlan(
-        name=general.get('name', path.stem),
+        name=general.get('name', Path(source).stem),
         seed=int(general.get('seed', '1')),
         warm_up_s=float(general.get('warm_up_s', '4')),
         duration_s=float(general.get('duration_s', '20')),
--- a/tools/policy_simulation.py
+++ b/tools/policy_simulation.py
@@ -372,7 +372,12 @@
                 lifetime_ms += case.fill_ms - now_ms
             push(now_ms + lifetime_ms, 'close', index, weight, incarnation[index])
             push(
-                now_ms + latency(index), 'outcome', chooser, name, now_ms, latency(index)
+                now_ms + latency(index),
+                'outcome',
+                chooser,
+                name,
+                now_ms,
+                latency(index),
             )
         elif kind == 'close' and incarnation[values[0]] == values[2]:
             flows[values[0]] -= 1
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -463,20 +463,10 @@
         print(f'  ! {line}')
 
 
-def run_plan(
-    plan: ScenarioPlan, folder: Path | None = None
-) -> tuple[Outcome, Scenario]:
-    """Run a plan in a temporary folder, or in a given one that is kept."""
-
-    async def run(path: Path) -> tuple[Outcome, Scenario]:
-        scenario = Scenario(plan, path)
-        return await scenario.run(), scenario
-
-    if folder is not None:
-        folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(run(folder))
-    with tempfile.TemporaryDirectory(prefix='cardamomtiller-') as name:
-        return asyncio.run(run(Path(name)))
+def run_plan(plan: ScenarioPlan, folder: Path) -> Outcome:
+    """Run a plan; logs and settings are written to the folder."""
+    folder.mkdir(parents=True, exist_ok=True)
+    return asyncio.run(Scenario(plan, folder).run())
 
 
 def main() -> int:
@@ -488,7 +478,9 @@
     parser.add_argument('--set', action='append', default=[], metavar='KEY=VALUE')
     options = parser.parse_args()
     changes = dict(text.split('=', 1) for text in options.set)
-    outcome, _ = run_plan(load_plan(options.scenario, changes), options.keep)
+    plan = load_plan(options.scenario, changes)
+    with tempfile.TemporaryDirectory(prefix='cardamomtiller-') as folder:
+        outcome = run_plan(plan, options.keep or Path(folder))
     print_outcome(outcome)
     if options.json:
         options.json.write_text(json.dumps(asdict(outcome), indent=2))
--- a/tools/standins/proxy.py
+++ b/tools/standins/proxy.py
@@ -37,13 +37,13 @@
 
     source: str = '*'
     target: str = '*'
-    loss: float = 0
-    duplicate: float = 0
-    reorder: float = 0
-    reorder_ms: float = 20
-    delay_ms: float = 0
-    jitter_ms: float = 0
-    bytes_per_s: float = 0
+    loss: float = 0.0
+    duplicate: float = 0.0
+    reorder: float = 0.0
+    reorder_ms: float = 20.0
+    delay_ms: float = 0.0
+    jitter_ms: float = 0.0
+    bytes_per_s: float = 0.0
     cut: int = 0
     reset: int = 0
 
--- a/tools/standins/upstream.py
+++ b/tools/standins/upstream.py
@@ -61,12 +61,12 @@
 
     slots: int = 2
     drain: int = 0
-    slow_factor: float = 1
-    shed_share: float = 0
+    slow_factor: float = 1.0
+    shed_share: float = 0.0
     lie_healthy: int = 0
-    cold_ms: float = 0
-    push_interval_ms: float = 0
-    flow_idle_ms: float = 30_000
+    cold_ms: float = 0.0
+    push_interval_ms: float = 0.0
+    flow_idle_ms: float = 30_000.0
     mute: int = 0
 
 
