--- a/src/cardamomtiller/exchange.py
+++ b/src/cardamomtiller/exchange.py
@@ -22,21 +22,20 @@
     def __init__(self, agent: LeaseAgent) -> None:
         """Start with nothing to send."""
         self._agent = agent
-        self._reports: dict[InstanceId, list[LeaseReport]] = {}
+        self._reports: dict[InstanceId, dict[str, LeaseReport]] = {}
         self._grants: dict[InstanceId, list[LeaseGrant]] = {}
 
     def collect(self, now_ms: float) -> Iterator[InstanceId]:
         """Take the reports that are due; iterate over their receivers."""
         for target, report in self._agent.reports_due(now_ms):
             # Only the newest report of a scope is of use.
-            waiting = self._reports.setdefault(target, [])
-            waiting[:] = [row for row in waiting if row.scope != report.scope]
-            waiting.append(report)
+            self._reports.setdefault(target, {})[report.scope] = report
             yield target
 
     def fill(self, message: Exchange, target: InstanceId, now_ms: float) -> None:
         """Add what a target shall hear."""
-        message.lease_reports.extend(self._reports.pop(target, ()))
+        reports = self._reports.pop(target, {})
+        message.lease_reports.extend(reports.values())
         message.lease_grants.extend(self._grants.pop(target, ()))
 
     def take(self, message: Exchange, now_ms: float) -> None:
--- a/src/cardamomtiller/instance.py
+++ b/src/cardamomtiller/instance.py
@@ -113,6 +113,7 @@
         )
         self._lease_part = LeasePart(self.lease)
         self._peer = self._make_peer()
+        self._source = open_source(settings.source)
         self._reader = self._make_reader(entropy)
         self._relay = self._make_relay()
         self._routed: tuple[object, object, object] | None = None
@@ -145,7 +146,7 @@
 
     def _make_reader(self, seed: int) -> Reader:
         return Reader(
-            open_source(self.settings.source),
+            self._source,
             self._intake,
             reader.read_options(self.settings.source),
             self._role,
@@ -185,9 +186,8 @@
 
     def _role(self) -> reader.Role:
         view = self.membership.current_view()
-        serving = view.serving_in(self.row.domain)
         watchers = self.settings.source.watchers
-        return choose_role(self.row.name, self.row.domain, serving, watchers)
+        return choose_role(self.row.name, self.row.domain, view, watchers)
 
     # Life
 
@@ -385,7 +385,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.data.close()
         await self._peer.stop()
-        await self._reader.close()
+        await self._source.close()
 
     def _spawn(self, work: 'asyncio._CoroutineLike[None]') -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -501,8 +501,9 @@
         signal.signal(signal.SIGINT, self._request_stop)
         signal.signal(signal.SIGHUP, self._request_reload)
         # A wait without a timeout would hold signals back.
-        while not self._is_done.wait(SIGNAL_POLL_S):
-            continue
+        is_done = False
+        while not is_done:
+            is_done = self._is_done.wait(SIGNAL_POLL_S)
 
     def _request_stop(self, *_arguments: object) -> None:
         if self._loop and self._instance:
