--- /dev/null
+++ b/src/cardamomtiller/reader.py
@@ -0,0 +1,314 @@
+"""Reader of the configuration service: one task of an instance."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+from loguru import logger
+from returns.result import Failure
+
+from cardamomtiller.counter import Counters
+from cardamomtiller.document import Document
+from cardamomtiller.finding import Finding, Place
+from cardamomtiller.identity import (
+    MS_PER_S,
+    DocumentName,
+    DomainName,
+    InstanceId,
+    Version,
+)
+from cardamomtiller.membership import View
+from cardamomtiller.rendezvous import rank
+from cardamomtiller.settings_pb2 import SourceSettings
+from cardamomtiller.snapshot import Offer, SnapshotStore
+from cardamomtiller.source import ConfigurationSource, Listing
+
+FIRST_BACKOFF_MS = 250.0
+LARGEST_BACKOFF_MS = 15_000.0
+# A watch that is answered too early is not repeated at once.
+SHORTEST_WATCH_MS = 100.0
+FINDINGS_KEPT = 100
+
+
+@dataclass(frozen=True, slots=True)
+class ReaderOptions:
+    """Times of the reader, in milliseconds, and the number of watchers."""
+
+    watch_wait_ms: float
+    jitter_ms: float
+    poll_interval_ms: float
+    watchers: int
+
+
+class Role(Enum):
+    """How an instance learns of new versions."""
+
+    WATCHER = 'watcher'
+    POLLER = 'poller'
+
+
+def read_options(settings: SourceSettings) -> ReaderOptions:
+    """Return the options that stand in the settings."""
+    return ReaderOptions(
+        watch_wait_ms=settings.watch_wait_ms,
+        jitter_ms=settings.jitter_ms,
+        poll_interval_ms=settings.poll_interval_ms,
+        watchers=settings.watchers,
+    )
+
+
+def choose_role(
+    name: InstanceId,
+    domain: DomainName,
+    view: View,
+    watchers: int,
+) -> Role:
+    """
+    Return whether an instance holds a watch.
+
+    An instance that sees no live instance of its domain watches, because nobody
+    else would tell it of a change.
+    """
+    serving = view.serving_in(domain)
+    chosen = rank(f'watch {domain}', serving)[:watchers]
+    return Role.WATCHER if name in chosen or not chosen else Role.POLLER
+
+
+@dataclass(slots=True)
+class RefusedDocuments:
+    """Documents that were refused, so that they are not fetched again."""
+
+    counters: Counters
+    versions: dict[DocumentName, Version] = field(default_factory=dict)
+    texts: dict[DocumentName, int] = field(default_factory=dict)
+    rows: dict[DocumentName, tuple[Finding, ...]] = field(default_factory=dict)
+
+    def refuse(self, document: Document, findings: tuple[Finding, ...]) -> None:
+        """Remember one refused version and its findings."""
+        self.counters.add('configuration.refused')
+        self.versions[document.name] = document.version
+        self.texts[document.name] = hash(document.text)
+        self.rows[document.name] = findings[:FINDINGS_KEPT]
+        logger.warning(
+            'document {} version {} refused: {}',
+            document.name,
+            document.version,
+            findings[0],
+        )
+
+    def clear(self, name: DocumentName) -> None:
+        """Forget about a document, since a valid one was taken."""
+        self.versions.pop(name, None)
+        self.texts.pop(name, None)
+        self.rows.pop(name, None)
+
+    def is_same(self, document: Document) -> bool:
+        """
+        Return whether this text was refused under this version.
+
+        Another text under the same version is tried: the refused one may have
+        been torn on its way.
+        """
+        is_text = self.texts.get(document.name) == hash(document.text)
+        return is_text and self.is_refused(document.name, document.version)
+
+    def is_refused(self, name: DocumentName, version: Version) -> bool:
+        """Return whether exactly this version was refused."""
+        return self.versions.get(name) == version
+
+
+class Intake:
+    """Offer documents from any sender to the snapshot; count what becomes of them."""
+
+    def __init__(
+        self,
+        store: SnapshotStore,
+        counters: Counters,
+        on_change: Callable[[float], None],
+    ) -> None:
+        """
+        Wrap a store.
+
+        Parameters
+        ----------
+        store
+            Snapshot of the documents.
+        counters
+            Receives the counts ``configuration.*``.
+        on_change
+            Called with the time in milliseconds after documents were taken.
+        """
+        self.store = store
+        self.refused = RefusedDocuments(counters)
+        self._counters = counters
+        self._on_change = on_change
+
+    def offer(self, documents: Iterable[Document], now_ms: float) -> int:
+        """Offer documents and return how many were taken."""
+        taken = 0
+        for document in documents:
+            if self.refused.is_same(document):
+                continue
+            offered = self.store.offer(document, now_ms)
+            if isinstance(offered, Failure):
+                self.refused.refuse(document, offered.failure())
+                continue
+            outcome = offered.unwrap()
+            self._counters.add(f'configuration.{outcome.value}')
+            if outcome is Offer.TAKEN:
+                taken += 1
+                self.refused.clear(document.name)
+        if taken:
+            self._on_change(now_ms)
+        return taken
+
+    def missing(self, versions: Mapping[DocumentName, Version]) -> list[DocumentName]:
+        """Return the documents of a listing that are newer than those held."""
+        held = self.store.versions()
+        return [
+            name
+            for name, version in sorted(versions.items())
+            if version > held.get(name, Version(-1))
+            and not self.refused.is_refused(name, version)
+        ]
+
+
+class Reader:
+    """Keep the snapshot up to date from the configuration service."""
+
+    def __init__(
+        self,
+        source: ConfigurationSource,
+        intake: Intake,
+        options: ReaderOptions,
+        role: Callable[[], Role],
+        clock_ms: Callable[[], float],
+        counters: Counters,
+        seed: int,
+    ) -> None:
+        """
+        Prepare the task.
+
+        Parameters
+        ----------
+        source
+            Configuration service.
+        intake
+            Receives the documents.
+        options
+            Times.
+        role
+            Returns the present role; asked before each read.
+        clock_ms
+            Monotonic time in milliseconds.
+        counters
+            Receives the counts ``source.*``.
+        seed
+            Of the jitter; must differ between instances.
+        """
+        self._source = source
+        self._intake = intake
+        self._options = options
+        self._role = role
+        self._clock_ms = clock_ms
+        self._counters = counters
+        self._random = random.Random(seed)
+        self._revision = Version(-1)
+        self._backoff_ms = FIRST_BACKOFF_MS
+        self._source_findings: dict[str, Finding] = {}
+        self.last_success_ms: float | None = None
+
+    def findings(self) -> tuple[Finding, ...]:
+        """Return what is wrong with the service and with refused documents."""
+        rows = list(self._source_findings.values())
+        for findings in self._intake.refused.rows.values():
+            rows.extend(findings)
+        return tuple(rows)
+
+    async def start(self, seeds: Callable[[], Awaitable[None]]) -> None:
+        """Ask the seed peers and the source together and wait for both."""
+        await asyncio.gather(seeds(), self.read_once())
+
+    async def run(self) -> None:
+        """Read until the task is cancelled."""
+        while True:
+            role = self._role()
+            if role is Role.POLLER:
+                await self._sleep(self._spread(self._options.poll_interval_ms))
+                role = self._role()
+            wait_ms = self._options.watch_wait_ms if role is Role.WATCHER else 0
+            began_ms = self._clock_ms()
+            is_read = await self.read_once(wait_ms)
+            if not is_read:
+                await self._back_off()
+            elif self._clock_ms() - began_ms < SHORTEST_WATCH_MS:
+                await self._sleep(self._spread(SHORTEST_WATCH_MS))
+
+    async def read_once(self, wait_ms: float = 0) -> bool:
+        """
+        Read the listing, waiting for a change, and the documents that are newer.
+
+        Returns
+        -------
+        bool
+            Whether the service answered everything.
+        """
+        after = self._revision if wait_ms else Version(-1)
+        self._counters.add('source.list')
+        listed = await self._source.watch(after, wait_ms)
+        if isinstance(listed, Failure):
+            self._fail('listing', listed.failure())
+            return False
+        self._source_findings.pop('listing', None)
+        return await self._fetch(listed.unwrap(), wait_ms)
+
+    async def _fetch(self, listing: Listing, wait_ms: float) -> bool:
+        missing = self._intake.missing(listing.versions)
+        if missing and wait_ms:
+            # Watchers are woken in the same moment; the reads that follow are
+            # spread, and a peer may deliver the documents meanwhile.
+            await self._sleep(self._random.uniform(0, self._options.jitter_ms))
+            missing = self._intake.missing(listing.versions)
+        is_complete = True
+        for name in missing:
+            is_complete = await self._fetch_one(name, listing) and is_complete
+        if is_complete:
+            self._revision = listing.revision
+            self._backoff_ms = FIRST_BACKOFF_MS
+            self.last_success_ms = self._clock_ms()
+        return is_complete
+
+    async def _fetch_one(self, name: DocumentName, listing: Listing) -> bool:
+        self._counters.add('source.read')
+        answered = await self._source.read(name)
+        if isinstance(answered, Failure):
+            self._fail(name, answered.failure())
+            return False
+        document = answered.unwrap()
+        if document.version < listing.versions[name]:
+            message = f'version {document.version}, listed {listing.versions[name]}'
+            self._fail(name, Finding(Place(name), message))
+            self._intake.offer((document,), self._clock_ms())
+            return False
+        self._source_findings.pop(name, None)
+        self._intake.offer((document,), self._clock_ms())
+        return True
+
+    def _fail(self, what: str, finding: Finding) -> None:
+        self._counters.add('source.failed')
+        if what not in self._source_findings:
+            logger.warning('configuration service: {}', finding)
+        if len(self._source_findings) < FINDINGS_KEPT:
+            self._source_findings[what] = finding
+
+    async def _back_off(self) -> None:
+        await self._sleep(self._random.uniform(self._backoff_ms / 2, self._backoff_ms))
+        self._backoff_ms = min(2 * self._backoff_ms, LARGEST_BACKOFF_MS)
+
+    def _spread(self, interval_ms: float) -> float:
+        return interval_ms * self._random.uniform(0.5, 1)
+
+    async def _sleep(self, wait_ms: float) -> None:
+        await asyncio.sleep(wait_ms / MS_PER_S)
--- /dev/null
+++ b/src/cardamomtiller/source.py
@@ -0,0 +1,212 @@
+"""Configuration service: abstract source and its HTTP implementation."""
+
+import asyncio
+import json
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Self
+from urllib.parse import quote
+
+import httpx
+from returns.result import Failure, Result, Success
+
+from cardamomtiller.document import (
+    LARGEST_DOCUMENT_BYTES,
+    LARGEST_NAME_LENGTH,
+    Document,
+)
+from cardamomtiller.finding import Finding, Place
+from cardamomtiller.identity import MS_PER_S, DocumentName, Version
+from cardamomtiller.settings_pb2 import SourceSettings
+
+LARGEST_DOCUMENTS = 1000
+LARGEST_VERSION = (1 << 63) - 1
+VERSION_HEADER = 'X-Document-Version'
+LIST_PATH = 'v1/documents'
+_FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """Revision of the configuration service and the version of each document."""
+
+    revision: Version
+    versions: Mapping[DocumentName, Version]
+
+
+class ConfigurationSource(ABC):
+    """
+    Read and watch the published documents.
+
+    Every failure, also a malformed answer, is a ``Finding``; no method raises
+    for one.
+    """
+
+    @abstractmethod
+    async def list(self) -> Result[Listing, Finding]:
+        """Return the present listing at once."""
+
+    @abstractmethod
+    async def read(self, name: DocumentName) -> Result[Document, Finding]:
+        """Return one document with its version."""
+
+    @abstractmethod
+    async def watch(
+        self,
+        revision: Version,
+        wait_ms: float,
+    ) -> Result[Listing, Finding]:
+        """Return the listing once its revision is above ``revision``, or later."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Release connections."""
+
+
+class HttpSource(ConfigurationSource):
+    """Configuration service over HTTP, see ``docs/configuration.md``."""
+
+    def __init__(self, url: str, timeout_ms: float) -> None:
+        """
+        Prepare a client; nothing is sent yet.
+
+        Parameters
+        ----------
+        url
+            Base URL.
+        timeout_ms
+            Timeout of one read; a watch waits that much longer than asked.
+        """
+        self._url = url.rstrip('/')
+        self._timeout_s = timeout_ms / MS_PER_S
+        # Proxies of the environment are not used: addresses are numeric and
+        # the service is reached directly.
+        self._client = httpx.AsyncClient(trust_env=False, follow_redirects=False)
+
+    async def __aenter__(self) -> Self:
+        """Return the source itself."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Release connections."""
+        await self.close()
+
+    async def list(self) -> Result[Listing, Finding]:
+        """Return the present listing at once."""
+        return await self.watch(Version(-1), 0)
+
+    async def read(self, name: DocumentName) -> Result[Document, Finding]:
+        """Return one document with its version."""
+        path = f'{LIST_PATH}/{quote(name, safe="")}'
+        place = Place(f'{self._url}/{path}')
+        answered = await self._get(path, self._timeout_s)
+        if isinstance(answered, Failure):
+            return answered
+        headers, body = answered.unwrap()
+        version = _read_number(headers.get(VERSION_HEADER, ''))
+        if version is None:
+            return Failure(Finding(place, f'header {VERSION_HEADER} is no version'))
+        try:
+            return Success(Document(name, Version(version), body.decode()))
+        except UnicodeDecodeError:
+            return Failure(Finding(place, 'text is not UTF-8'))
+
+    async def watch(
+        self,
+        revision: Version,
+        wait_ms: float,
+    ) -> Result[Listing, Finding]:
+        """Return the listing once its revision is above ``revision``, or later."""
+        path = f'{LIST_PATH}?after={revision}&wait_ms={int(wait_ms)}'
+        place = Place(f'{self._url}/{LIST_PATH}')
+        answered = await self._get(path, self._timeout_s + wait_ms / MS_PER_S)
+        if isinstance(answered, Failure):
+            return answered
+        try:
+            return Success(_parse_listing(answered.unwrap()[1]))
+        except (ValueError, RecursionError) as error:
+            return Failure(Finding(place, f'malformed listing: {error}'))
+
+    async def close(self) -> None:
+        """Release connections."""
+        await self._client.aclose()
+
+    async def _get(
+        self,
+        path: str,
+        timeout_s: float,
+    ) -> Result[tuple[httpx.Headers, bytes], Finding]:
+        place = Place(f'{self._url}/{path}')
+        # The timeout of httpx applies to each single read, so a server that
+        # sends a byte now and then is cut off by the outer one.
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._receive(path, place, timeout_s)
+        except TimeoutError:
+            return Failure(Finding(place, f'no answer in {timeout_s:.3f} s'))
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
+            reason = str(error) or type(error).__name__
+            return Failure(Finding(place, f'cannot be read: {reason}'))
+
+    async def _receive(
+        self,
+        path: str,
+        place: Place,
+        timeout_s: float,
+    ) -> Result[tuple[httpx.Headers, bytes], Finding]:
+        request = self._client.stream('GET', f'{self._url}/{path}', timeout=timeout_s)
+        async with request as response:
+            if response.status_code != httpx.codes.OK:
+                message = f'status {response.status_code}'
+                return Failure(Finding(place, message))
+            if not _FRAMING_HEADERS & response.headers.keys():
+                # The end of such a body cannot be told from a broken connection.
+                return Failure(Finding(place, 'answer has no length'))
+            body = bytearray()
+            async for part in response.aiter_bytes():
+                body += part
+                if len(body) > LARGEST_DOCUMENT_BYTES:
+                    message = f'longer than {LARGEST_DOCUMENT_BYTES} bytes'
+                    return Failure(Finding(place, message))
+            return Success((response.headers, bytes(body)))
+
+
+def open_source(settings: SourceSettings) -> HttpSource:
+    """Return the source that the settings name."""
+    return HttpSource(settings.url, settings.read_timeout_ms)
+
+
+def _parse_listing(body: bytes) -> Listing:
+    parsed = json.loads(body)
+    if not isinstance(parsed, dict):
+        raise ValueError('is not an object')
+    revision = parsed.get('revision')
+    documents = parsed.get('documents')
+    if not isinstance(revision, int) or not _is_version(revision):
+        raise ValueError('revision is not a version')
+    if not isinstance(documents, dict) or len(documents) > LARGEST_DOCUMENTS:
+        raise ValueError(f'documents is not an object of up to {LARGEST_DOCUMENTS}')
+    for name, version in documents.items():
+        if not 0 < len(name) <= 2 * LARGEST_NAME_LENGTH or not _is_version(version):
+            raise ValueError(f'entry {name[:LARGEST_NAME_LENGTH]!r} is not valid')
+    versions = {DocumentName(name): Version(value) for name, value in documents.items()}
+    return Listing(Version(revision), versions)
+
+
+def _is_version(value: object) -> bool:
+    if not isinstance(value, int) or isinstance(value, bool):
+        return False
+    return 0 <= value <= LARGEST_VERSION
+
+
+def _read_number(text: str) -> int | None:
+    is_number = text.isascii() and text.isdecimal() and len(text) < 20
+    number = int(text) if is_number else -1
+    return number if 0 <= number <= LARGEST_VERSION else None
