Show customers' shares in the status; hold requests back while a flow moves

Cause: after HOME_GONE the caller library bound further requests to the dead home, so each of them ended as unknown; 37 unknown outcomes for at most 20 requests in progress at a kill. Change: a request is not bound while the flow resumes; status shows shares. Conclusion: the share of a customer drops to its floor for seconds without a failure; to be found.

--- a/src/cardamomtiller/client.py
+++ b/src/cardamomtiller/client.py
@@ -440,7 +440,9 @@
 
     def _bind(self, outstanding: _Outstanding) -> bool:
         """Tie the request to the current cookie, if it may be sent under it."""
-        if not self._cookie or self._generation < outstanding.least_generation:
+        if self._resume_wanted.is_set() or not self._cookie:
+            return False
+        if self._generation < outstanding.least_generation:
             return False
         outstanding.cookie = self._cookie
         outstanding.generation = self._generation
--- a/src/cardamomtiller/instance.py
+++ b/src/cardamomtiller/instance.py
@@ -9,11 +9,13 @@
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import asdict
 
 from loguru import logger
 
 from cardamomtiller import ini, membership, reader
 from cardamomtiller.admission import Admission, Permit
+from cardamomtiller.allowance import NOTHING
 from cardamomtiller.assignment import OwnerTable
 from cardamomtiller.catalog import Catalog
 from cardamomtiller.cookie import CookieSealer
@@ -427,9 +429,17 @@
                 }
                 for served in self._served()
             ],
+            'shares': dict(self._shares(_now_ms())),
             'stream_connections': self._relay.open_connections,
         }
 
+    def _shares(self, now_ms: float) -> Iterator[tuple[str, Json]]:
+        for customer in sorted(self.store.catalog.customers):
+            demand = self.admission.demand(customer, now_ms)
+            if demand != NOTHING:
+                share = self.lease.share(customer, now_ms)
+                yield customer, {'share': asdict(share), 'demand': asdict(demand)}
+
     def flows(self) -> Json:
         """Return the flows that are served here."""
         return [
