Refuse to resume a flow that the upstream does not know

Cause: the stand-in accepted a resumed flow after it had forgotten its state, so the caller took a lost connection for an intact one. Change: a generation above 1 of an unknown flow is refused as UNKNOWN_FLOW. Conclusion: a flow is either resumed with its state or reset.

--- a/tools/standins/upstream.py
+++ b/tools/standins/upstream.py
@@ -229,6 +229,10 @@
             held.link = link
             held.used_ms = now_ms()
             self.counts['flow_opens_resumed'] += 1
+        elif record.generation > 1:
+            # The state of the connection is lost; the caller must open a new one.
+            opened.refusal = REASON_UNKNOWN_FLOW
+            self.counts['flow_opens_of_unknown'] += 1
         else:
             self.flows[record.flow_id] = Flow(record, link, now_ms(), now_ms())
             self.counts['flow_opens_new'] += 1
