--- a/tests/features/live.feature
+++ b/tests/features/live.feature
@@ -48,12 +48,27 @@
     And flows were resumed
     And no request was cut off
 
+  Scenario: Flows follow an upstream whose owner changes and changes back
+    Given the live deployment runs for 12 s
+    When a live deployment runs through these events
+      | at_s | action      |
+      | 1    | join a      |
+      | 4    | stop a-i3   |
+    Then every invariant holds
+    And flows were resumed
+
   Scenario: A restarted upstream loses its own flows only, and requests on it are not repeated
     When a live deployment runs through these events
       | at_s | action          |
       | 1    | restart desk-u1 |
     Then every invariant holds
 
+  Scenario: Packets that vanish on the way to one instance break no flow
+    When a live deployment runs through these events
+      | at_s | action                                           |
+      | 1    | rule fabric to source=caller target=a/a-i1 cut=1 |
+    Then every invariant holds
+
   Scenario: A silent path between the callers and one instance breaks no flow
     When a live deployment runs through these events
       | at_s | action                                                 |
