--- a/tests/features/steps/live_steps.py
+++ b/tests/features/steps/live_steps.py
@@ -1,11 +1,15 @@
 """Steps that run a small deployment of real processes."""
 
+import subprocess
+import sys
 import tempfile
+import time
 from pathlib import Path
 
 from behave import given, then, when
 
 from tools.plan import parse_plan
+from tools.processes import ROOT
 from tools.scenario import print_outcome, run_plan
 
 BASE = Path(__file__).resolve().parents[1] / 'live.ini'
@@ -85,3 +89,24 @@
 def check_in_force(context, limit_s):
     assert not context.outcome.figures['not_in_force'], context.outcome.faults
     assert context.outcome.marks['config_in_force_s'] <= limit_s
+
+
+@when('the demonstration runs')
+def run_demonstration(context):
+    begin_s = time.monotonic()
+    context.demo = subprocess.run(
+        [sys.executable, '-m', 'tools.demo'],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        timeout=120,
+    )
+    context.demo_s = time.monotonic() - begin_s
+    print(context.demo.stdout)
+
+
+@then('its exit code is {code:d} and it took less than {limit_s:d} s')
+def check_demonstration(context, code, limit_s):
+    assert context.demo.returncode == code, context.demo.stdout
+    assert context.demo_s < limit_s, context.demo_s
