Add randomised runs of the data path in virtual time

Cause: at-most-once and flow survival must hold under any interleaving. Change: a virtual event loop drives the real data path, caller library and stand-in upstreams under kills, pauses, stops, disagreeing views and loss.

--- a/src/cardamomtiller/client.py
+++ b/src/cardamomtiller/client.py
@@ -311,7 +311,7 @@
         self._generation = 0
         self._sequence = 0
         self._refusal: OpenError | None = None
-        self._heard_ms = _now_ms()
+        self._heard_ms: float = 0
         self._next_push_id = 1
         self._held_pushes: dict[int, bytes] = {}
         self._opened.clear()
@@ -328,6 +328,7 @@
             remote_addr=self._address.as_pair(),
         )
         self._transport = transport
+        self._heard_ms = _now_ms()
         deadline_ms = _now_ms() + self._options.open_timeout_ms
         resend_ms: float = FIRST_RESEND_MS
         while not self._opened.is_set():
@@ -688,4 +689,4 @@
 
 
 def _now_ms() -> float:
-    return time.monotonic() * MS_PER_S
+    return asyncio.get_running_loop().time() * MS_PER_S
--- a/src/cardamomtiller/dataplane.py
+++ b/src/cardamomtiller/dataplane.py
@@ -2,16 +2,17 @@
 
 import asyncio
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 
 from returns.result import Failure
 
 from cardamomtiller import codec
+from cardamomtiller.catalog import Catalog
 from cardamomtiller.cookie import CookieSealer
 from cardamomtiller.counter import Counters
 from cardamomtiller.document import UpstreamRow
-from cardamomtiller.entrance import DatagramSocket
+from cardamomtiller.entrance import DatagramSocket, Receiver
 from cardamomtiller.flowtable import ServedFlow
 from cardamomtiller.home import Arrival, HomeOutlet, ServingParts
 from cardamomtiller.identity import (
@@ -22,7 +23,7 @@
     ServiceName,
     UpstreamId,
 )
-from cardamomtiller.link import LinkOptions, TcpLink
+from cardamomtiller.link import LinkListener, LinkOptions, TcpLink, UpstreamLink
 from cardamomtiller.routing import (
     Answered,
     Dropped,
@@ -49,6 +50,9 @@
     UpstreamLoad,
 )
 
+SocketOpener = Callable[[Endpoint, Receiver, Counters], DatagramSocket]
+LinkMaker = Callable[[Endpoint, LinkListener, LinkOptions, Counters], UpstreamLink]
+
 TICK_MS = 20
 LOAD_REPORT_MS = 500
 # A home that gave an upstream up keeps its link while callers move.
@@ -76,8 +80,29 @@
         sealer: CookieSealer,
         counters: Counters,
         cluster_keys: tuple[bytes, ...],
+        open_socket: SocketOpener = DatagramSocket,
+        make_link: LinkMaker = TcpLink,
     ) -> None:
-        """Prepare; sockets are added by ``add_service`` and ``start``."""
+        """
+        Prepare; sockets are added by ``add_service`` and ``start``.
+
+        Parameters
+        ----------
+        view
+            First picture of the world.
+        settings
+            Checked settings.
+        sealer
+            Seals and opens cookies; gets its keys from the views.
+        counters
+            Receives the counts of packets, flows and requests.
+        cluster_keys
+            Keys between instances, the current one first.
+        open_socket
+            Opens a UDP socket.
+        make_link
+            Makes the link to an upstream.
+        """
         self.served: dict[UpstreamId, Served] = {}
         self.selections: dict[ServiceName, Selection] = {}
         self.parts: ServingParts | None = None
@@ -85,9 +110,12 @@
         self._sealer = sealer
         self._counters = counters
         self._cluster_keys = cluster_keys
+        self._open_socket = open_socket
+        self._make_link = make_link
         self._sockets: dict[ServiceName, list[DatagramSocket]] = {}
         self._peer_socket: DatagramSocket | None = None
         self._next_report_ms: float = 0
+        self._catalog: Catalog | None = None
         self._link_options = LinkOptions.from_settings(settings.link)
         self._router = Router(
             view,
@@ -105,7 +133,7 @@
         def receive(datagram: bytes, caller: Endpoint) -> None:
             self._receive(service, datagram, caller)
 
-        opened = DatagramSocket(address, receive, self._counters)
+        opened = self._open_socket(address, receive, self._counters)
         opened.start(asyncio.get_running_loop())
         self._sockets.setdefault(service, []).append(opened)
 
@@ -117,7 +145,7 @@
     def start(self, peer_address: Endpoint, parts: ServingParts) -> None:
         """Listen for the other instances."""
         self.parts = parts
-        opened = DatagramSocket(peer_address, self._receive_peer, self._counters)
+        opened = self._open_socket(peer_address, self._receive_peer, self._counters)
         opened.start(asyncio.get_running_loop())
         self._peer_socket = opened
 
@@ -140,7 +168,8 @@
     def set_view(self, view: RoutingView, now_ms: float) -> None:
         """Route by a new view, and serve the upstreams that it gives us."""
         catalog = view.catalog
-        if catalog is not self._router.view.catalog:
+        if catalog is not self._catalog:
+            self._catalog = catalog
             self._sealer.set_keys(dict(catalog.keys))
             self._set_pools(catalog.pools, now_ms)
         self._router.view = view
@@ -180,7 +209,12 @@
             home.set_row(row, catalog, now_ms)
         else:
             home = ServedUpstream(row, catalog, self.parts)
-        link = TcpLink(row.address, home, self._link_options, self._counters)
+        link = self._make_link(
+            row.address,
+            home,
+            self._link_options,
+            self._counters,
+        )
         home.attach(link)
         task = asyncio.create_task(link.run())
         self.served[row.name] = Served(home, task, row.address)
@@ -230,7 +264,7 @@
             hops=forward.hops if forward else 0,
             upstream=upstream or None,
         )
-        now_ms = time.monotonic() * MS_PER_S
+        now_ms = _now_ms()
         match self._router.route(inbound, now_ms, time.time() * MS_PER_S):
             case Local() as local:
                 forwarder = forward.sender if forward else ''
@@ -371,8 +405,7 @@
         """Take the load of an upstream from the instance that serves it."""
         selection = self.selections.get(service)
         if selection:
-            now_ms = time.monotonic() * MS_PER_S
-            selection.report_load(upstream, Load.from_message(load), now_ms)
+            selection.report_load(upstream, Load.from_message(load), _now_ms())
 
     def loads(self) -> Iterator[tuple[UpstreamRow, UpstreamLoad]]:
         """Iterate over the upstreams owned here and their loads."""
@@ -423,8 +456,7 @@
     async def run(self) -> None:
         """Do what is due until cancelled."""
         while True:
-            now_ms = time.monotonic() * MS_PER_S
-            self.tick(now_ms)
+            self.tick(_now_ms())
             await asyncio.sleep(TICK_MS / MS_PER_S)
 
     def tick(self, now_ms: float) -> None:
@@ -437,3 +469,7 @@
             self._next_report_ms = now_ms + LOAD_REPORT_MS
             for row, load in self.loads():
                 self.report_load(row.service, row.name, load)
+
+
+def _now_ms() -> float:
+    return asyncio.get_running_loop().time() * MS_PER_S
--- /dev/null
+++ b/tests/simulation.py
@@ -0,0 +1,777 @@
+"""Randomised runs of the real data path and caller library in virtual time.
+
+The event loop's clock jumps to the next timer, so a minute takes seconds. Only
+the sockets, the links and the membership views are replaced; upstreams are the
+stand-ins. Every random choice comes from one seed.
+"""
+
+import asyncio
+import json
+import random
+import selectors
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from functools import partial
+
+from returns.result import Result, Success
+
+from cardamomtiller.admission import Permit, PermitKind, Refusal
+from cardamomtiller.assignment import owners
+from cardamomtiller.catalog import Catalog, build_catalog
+from cardamomtiller.client import Client, ClientOptions, OpenError, Status
+from cardamomtiller.cookie import CookieSealer
+from cardamomtiller.counter import Counters
+from cardamomtiller.dataplane import DataPlane
+from cardamomtiller.document import (
+    CustomerRow,
+    InstanceRow,
+    KeyRow,
+    PlanRow,
+    ServiceRow,
+    UpstreamRow,
+)
+from cardamomtiller.entrance import DatagramSocket
+from cardamomtiller.home import HomeIdentity, ServingParts
+from cardamomtiller.identity import (
+    CustomerId,
+    DomainName,
+    Endpoint,
+    Incarnation,
+    InstanceId,
+    OperatorState,
+    PlanName,
+    RegionName,
+    ServiceClass,
+    ServiceName,
+    UpstreamId,
+)
+from cardamomtiller.invariant import Invariants
+from cardamomtiller.link import LinkListener, UpstreamLink
+from cardamomtiller.membership import InstanceState, Member, View
+from cardamomtiller.record import DuplicateRecord
+from cardamomtiller.routing import RoutingView
+from cardamomtiller.settings import parse_settings
+from cardamomtiller.wire_pb2 import UpstreamFrame
+from tools.standins.upstream import Behaviour, Link, Upstream
+
+SERVICES = (ServiceName('orders'), ServiceName('patterns'))
+CUSTOMER = CustomerId('resort')
+SECRET = b's' * 16
+CLUSTER_KEY = b'c' * 16
+DOMAIN = DomainName('d1')
+REGION = RegionName('r1')
+TICK_S = 0.02
+DETECTION_S = 2.5
+FIRST_INCARNATION = 1000
+SETTINGS_TEXT = """
+[instance]
+name = x
+region = r1
+failure_domain = d1
+peer_address = 127.0.0.1:1
+cluster_key = 63636363636363636363636363636363
+[source]
+url = http://127.0.0.1:1
+[flow]
+keepalive_ms = 500
+"""
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Advance the clock instead of waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 1000.0
+
+    def select(self, timeout=None):
+        ready = super().select(0)
+        if not ready and timeout is None:
+            raise RuntimeError('the simulation has nothing left to do')
+        if not ready:
+            self.now_s += timeout
+        return ready
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop with a jumping clock and simulated datagram sockets."""
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        self.network: Network | None = None
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        return self._jumping.now_s
+
+    async def create_datagram_endpoint(self, protocol_factory, **options):
+        protocol = protocol_factory()
+        transport = self.network.open_caller(protocol, options['remote_addr'])
+        return transport, protocol
+
+
+@dataclass
+class Faults:
+    """Faults of every datagram path."""
+
+    loss: float = 0
+    duplication: float = 0
+    delay_ms: tuple[float, float] = (0.3, 1.5)
+
+
+class _CallerTransport(asyncio.DatagramTransport):
+    def __init__(self, network, protocol, own: Endpoint, service: ServiceName):
+        super().__init__()
+        self._network = network
+        self.protocol = protocol
+        self.own = own
+        self._service = service
+        self._is_closed = False
+
+    def sendto(self, data, addr=None):
+        self._network.to_service(data, self.own, self._service)
+
+    def is_closing(self):
+        return self._is_closed
+
+    def close(self):
+        self._is_closed = True
+        self._network.callers.pop(self.own, None)
+
+
+class Network:
+    """Deliver datagrams with faults; spray callers' datagrams over instances."""
+
+    def __init__(self, loop: VirtualLoop, generator: random.Random) -> None:
+        self.loop = loop
+        self.generator = generator
+        self.faults = Faults()
+        self.callers: dict[Endpoint, _CallerTransport] = {}
+        self.sprayed: list[SimulatedInstance] = []
+        self._next_port = 1
+
+    def open_caller(self, protocol, remote: tuple[str, int]) -> _CallerTransport:
+        own = Endpoint('10.9.0.1', self._next_port)
+        self._next_port += 1
+        service = SERVICES[remote[1] - 1]
+        transport = _CallerTransport(self, protocol, own, service)
+        self.callers[own] = transport
+        return transport
+
+    def to_service(self, data: bytes, caller: Endpoint, service: ServiceName) -> None:
+        if self.sprayed:
+            target = self.generator.choice(self.sprayed)
+            self.deliver(lambda: target.receive(service, data, caller))
+
+    def to_caller(self, data: bytes, caller: Endpoint) -> None:
+        def arrive() -> None:
+            transport = self.callers.get(caller)
+            if transport:
+                transport.protocol.datagram_received(data, None)
+
+        self.deliver(arrive)
+
+    def deliver(self, arrive: Callable[[], None]) -> None:
+        copies = 1 + (self.generator.random() < self.faults.duplication)
+        for _ in range(copies):
+            if self.generator.random() >= self.faults.loss:
+                delay_ms = self.generator.uniform(*self.faults.delay_ms)
+                self.loop.call_later(delay_ms / 1000, arrive)
+
+
+class _Socket(DatagramSocket):
+    def __init__(self, instance, address, receive, counters):
+        self.address = address
+        self.receive = receive
+        self._instance = instance
+
+    def start(self, loop):
+        self._instance.sockets[self.address] = self
+
+    def close(self, loop):
+        self._instance.sockets.pop(self.address, None)
+
+    def send(self, datagram, to):
+        self._instance.send(datagram, to)
+
+
+@dataclass(eq=False)
+class _FarEnd(Link):
+    """The upstream's end of a simulated link."""
+
+    near: 'SimulatedLink | None' = None
+
+    def send(self, frame: UpstreamFrame) -> None:
+        if self.is_open:
+            self.near.arrive(UpstreamFrame.FromString(frame.SerializeToString()))
+
+
+class SimulatedLink(UpstreamLink):
+    """Ordered frames with delay between an instance and a stand-in upstream."""
+
+    def __init__(self, fleet, instance, address, listener: LinkListener) -> None:
+        self._fleet = fleet
+        self._instance = instance
+        self._address = address
+        self._listener = listener
+        self._far: _FarEnd | None = None
+        self._is_up = False
+        self._order = 0.0
+
+    @property
+    def is_up(self) -> bool:
+        return self._is_up
+
+    def send(self, frame: UpstreamFrame, service_class: ServiceClass) -> bool:
+        if not self._is_up:
+            return False
+        far, copy = self._far, UpstreamFrame.FromString(frame.SerializeToString())
+        upstream = self._fleet.upstream_at(self._address)
+        self._in_order(lambda: far.is_open and upstream.handle(far, copy))
+        return True
+
+    async def run(self) -> None:
+        try:
+            while True:
+                if self._far is None and not self._instance.is_cut_from(self._address):
+                    self._connect()
+                await asyncio.sleep(0.1)
+        finally:
+            self.break_now(is_told=False)
+
+    def _connect(self) -> None:
+        upstream = self._fleet.upstream_at(self._address)
+        if upstream is not None:
+            self._far = _FarEnd(writer=None, near=self)
+            upstream.accept(self._far)
+
+    def arrive(self, frame: UpstreamFrame) -> None:
+        far = self._far
+
+        def take() -> None:
+            if self._far is not far:
+                return
+            if frame.WhichOneof('body') == 'hello':
+                self._is_up = True
+                self._listener.handle_up(frame.hello)
+            else:
+                self._listener.handle_frame(frame)
+
+        self._in_order(lambda: self._instance.run_or_hold(take))
+
+    def break_now(self, *, is_told: bool = True) -> None:
+        if self._far is None:
+            return
+        self._far.is_open = False
+        upstream = self._fleet.upstream_at(self._address)
+        if upstream is not None:
+            upstream.links.discard(self._far)
+        self._far = None
+        was_up, self._is_up = self._is_up, False
+        if was_up and is_told:
+            self._instance.run_or_hold(self._listener.handle_down)
+
+    def _in_order(self, action: Callable[[], object]) -> None:
+        loop = self._fleet.loop
+        delay_ms = self._fleet.generator.uniform(0.2, 1)
+        self._order = max(self._order + 1e-6, loop.time() + delay_ms / 1000)
+        loop.call_at(self._order, action)
+
+
+class OpenAdmission:
+    """Admit everything."""
+
+    def admit_request(self, customer, bytes_count, now_ms) -> Result[Permit, Refusal]:
+        return Success(Permit(0, customer, PermitKind.REQUEST, bytes_count))
+
+    def admit_flow(self, customer, now_ms) -> Result[Permit, Refusal]:
+        return Success(Permit(0, customer, PermitKind.FLOW, 0))
+
+    def release(self, permit, now_ms) -> None:
+        """Nothing is held."""
+
+
+class SimulatedInstance:
+    """One instance: the real data path under simulated sockets and links."""
+
+    def __init__(self, fleet: 'Fleet', row: InstanceRow, incarnation: int) -> None:
+        self.fleet = fleet
+        self.row = row
+        self.incarnations = [Incarnation(incarnation)]
+        self.state = InstanceState.LIVE
+        self.is_alive = True
+        self.is_paused = False
+        self.cut_until_s: dict[Endpoint, float] = {}
+        self.sockets: dict[Endpoint, _Socket] = {}
+        self.links: list[SimulatedLink] = []
+        self.counters = Counters()
+        self._revision = 0
+        self._held: list[Callable[[], None]] = []
+        sealer = CookieSealer()
+        self._identity = HomeIdentity(row.name, self.incarnations[0])
+        self.data = DataPlane(
+            self._view(View()),
+            fleet.settings,
+            sealer,
+            self.counters,
+            (CLUSTER_KEY,),
+            open_socket=lambda *parts: _Socket(self, *parts),
+            make_link=self._make_link,
+        )
+        flow = fleet.settings.flow
+        retention_ms = flow.cookie_lifetime_ms + flow.longest_timeout_ms
+        parts = ServingParts(
+            home=self._identity,
+            settings=fleet.settings,
+            sealer=sealer,
+            record=DuplicateRecord(retention_ms),
+            admission=OpenAdmission(),
+            outlet=self.data,
+            counters=self.counters,
+            invariants=Invariants(self.counters, is_enabled=True),
+            clock_ms=lambda: fleet.loop.time() * 1000,
+            generator=random.Random(incarnation),
+        )
+        self.data.start(row.peer_address, parts)
+        for port, service in enumerate(SERVICES, start=1):
+            self.data.add_service(service, Endpoint(row.peer_address.host, port))
+
+    def _make_link(self, address, listener, options, counters) -> SimulatedLink:
+        link = SimulatedLink(self.fleet, self, address, listener)
+        self.links.append(link)
+        return link
+
+    def _view(self, view: View) -> RoutingView:
+        return RoutingView(
+            own=self.row.name,
+            incarnation=self.incarnations[-1],
+            own_incarnations=frozenset(self.incarnations),
+            catalog=self.fleet.catalog,
+            homes=view,
+            owners=owners(tuple(self.fleet.catalog.upstreams.values()), view),
+        )
+
+    def set_view(self, view: View) -> None:
+        if not self.is_alive or view.revision < self._revision:
+            return
+        self._revision = view.revision
+        self._identity.incarnation = self.incarnations[-1]
+        now_ms = self.fleet.loop.time() * 1000
+        self.run_or_hold(lambda: self.data.set_view(self._view(view), now_ms))
+
+    def is_cut_from(self, address: Endpoint) -> bool:
+        return self.cut_until_s.get(address, 0) > self.fleet.loop.time()
+
+    def run_or_hold(self, action: Callable[[], None]) -> None:
+        """Act now, after the pause, or never."""
+        if not self.is_alive:
+            return
+        if self.is_paused:
+            self._held.append(action)
+        else:
+            action()
+
+    def receive(self, service: ServiceName, data: bytes, caller: Endpoint) -> None:
+        port = SERVICES.index(service) + 1
+        address = Endpoint(self.row.peer_address.host, port)
+        self.receive_at(address, data, caller)
+
+    def receive_at(self, address: Endpoint, data: bytes, sender: Endpoint) -> None:
+        def take() -> None:
+            opened = self.sockets.get(address)
+            if opened:
+                opened.receive(data, sender)
+
+        self.run_or_hold(take)
+
+    def send(self, datagram: bytes, to: Endpoint) -> None:
+        network = self.fleet.network
+        if to.host.startswith('10.9.'):
+            network.to_caller(datagram, to)
+            return
+        own = self.row.peer_address
+        for other in self.fleet.instances:
+            if other.row.peer_address == to:
+                network.deliver(partial(other.receive_at, to, datagram, own))
+
+    def tick(self) -> None:
+        if self.is_alive and not self.is_paused:
+            self.data.tick(self.fleet.loop.time() * 1000)
+
+    def pause(self, seconds: float) -> None:
+        self.is_paused = True
+        self.fleet.loop.call_later(seconds, self._resume)
+
+    def _resume(self) -> None:
+        self.is_paused = False
+        held, self._held = self._held, []
+        for action in held:
+            action()
+
+    def kill(self) -> None:
+        self.is_alive = False
+        for link in self.links:
+            link.break_now(is_told=False)
+        self.data.close()
+
+
+@dataclass
+class RequestOutcome:
+    """What a caller was told of a request."""
+
+    token: str
+    is_idempotent: bool
+    status: Status
+    reason: str
+
+
+@dataclass
+class Report:
+    """Result of one run."""
+
+    outcomes: list[RequestOutcome] = field(default_factory=list)
+    executions: dict[str, int] = field(default_factory=dict)
+    double_runs: list[str] = field(default_factory=list)
+    false_not_run: list[str] = field(default_factory=list)
+    wrong_answers: list[str] = field(default_factory=list)
+    misrouted: int = 0
+    broken_flows: int = 0
+    resumed_flows: int = 0
+    unopened: int = 0
+    overdue: int = 0
+    events: list[str] = field(default_factory=list)
+
+    def count(self, status: Status) -> int:
+        return sum(outcome.status is status for outcome in self.outcomes)
+
+
+class Fleet:
+    """Instances, upstreams, callers and the events of one run."""
+
+    def __init__(self, loop: VirtualLoop, seed: int) -> None:
+        self.loop = loop
+        self.generator = random.Random(seed)
+        self.network = Network(loop, self.generator)
+        loop.network = self.network
+        self.settings = parse_settings(SETTINGS_TEXT, 'simulation').unwrap()
+        self.report = Report()
+        self.instances: list[SimulatedInstance] = []
+        self.upstreams: dict[Endpoint, Upstream] = {}
+        self.clients: list[Client] = []
+        self._instance_rows = [_instance_row(number) for number in range(5)]
+        self._incarnation = FIRST_INCARNATION
+        self._token = 0
+        self._revision = 0
+        self._upstream_rows = [
+            _upstream_row(number, service)
+            for number, service in enumerate(SERVICES * 2, start=1)
+        ]
+        self.catalog: Catalog = build_catalog(self._rows())
+
+    def _rows(self) -> Iterator[object]:
+        yield PlanRow(PlanName('gold'), 1e6, 10000, 10000, 1e12, 1)
+        yield CustomerRow(CUSTOMER, PlanName('gold'), (SECRET,))
+        yield KeyRow(1, b'k' * 16, is_current=True)
+        for service in SERVICES:
+            yield ServiceRow(service, (), (), None)
+        yield from self._upstream_rows
+        yield from self._instance_rows
+
+    def upstream_at(self, address: Endpoint) -> Upstream | None:
+        return self.upstreams.get(address)
+
+    def start_upstream(self, row: UpstreamRow) -> None:
+        behaviour = Behaviour(slots=row.slots, push_interval_ms=700)
+        upstream = Upstream(row.name, row.service, behaviour)
+        self.upstreams[row.address] = upstream
+        self.loop.create_task(upstream.run_timers())
+
+    def start_instance(self, row: InstanceRow) -> SimulatedInstance:
+        self._incarnation += 1
+        instance = SimulatedInstance(self, row, self._incarnation)
+        self.instances.append(instance)
+        self.network.sprayed.append(instance)
+        self.spread_view(0)
+        return instance
+
+    def view(self) -> View:
+        members = {}
+        for instance in self.instances:
+            name = instance.row.name
+            incarnation = instance.incarnations[-1]
+            members[name] = Member(instance.row, instance.state, incarnation)
+        serving = tuple(
+            sorted(
+                name
+                for name, member in members.items()
+                if member.state is InstanceState.LIVE
+            ),
+        )
+        self._revision += 1
+        return View(self._revision, members, {DOMAIN: serving}, {REGION: serving})
+
+    def spread_view(self, longest_s: float) -> None:
+        """Let every instance learn the present truth after its own delay."""
+        view = self.view()
+        for instance in self.instances:
+            delay_s = self.generator.uniform(0, longest_s)
+            self.loop.call_later(delay_s, instance.set_view, view)
+
+    # Events
+
+    def kill(self) -> str:
+        instance = self._pick_live()
+        if instance is None:
+            return 'nothing'
+        instance.kill()
+        self.loop.call_later(DETECTION_S, self._declare_dead, instance)
+        self.loop.call_later(0.5, self._stop_spraying, instance)
+        self.loop.call_later(5, self._replace, instance)
+        return f'kill {instance.row.name}'
+
+    def pause(self) -> str:
+        instance = self._pick_live()
+        if instance is None:
+            return 'nothing'
+        seconds = self.generator.choice((0.4, 1.5, 6.0, 9.0))
+        instance.pause(seconds)
+        if seconds > DETECTION_S:
+            self.loop.call_later(DETECTION_S, self._declare_dead, instance)
+            self.loop.call_later(seconds + 0.5, self._declare_back, instance)
+        return f'pause {instance.row.name} for {seconds} s'
+
+    def stop(self) -> str:
+        instance = self._pick_live()
+        if instance is None:
+            return 'nothing'
+        instance.state = InstanceState.LEAVING
+        self.spread_view(1)
+        self.loop.create_task(self._drain(instance))
+        return f'stop {instance.row.name}'
+
+    def flap_views(self) -> str:
+        """Two halves disagree about an instance that is alive."""
+        instance = self._pick_live()
+        if instance is None:
+            return 'nothing'
+        instance.state = InstanceState.DEAD
+        self.spread_view(2)
+        self.loop.call_later(1.5, self._declare_back, instance)
+        return f'false death of {instance.row.name}'
+
+    def lose_packets(self) -> str:
+        self.network.faults = Faults(0.2, 0.1, (0.3, 60))
+        self.loop.call_later(3, self._end_loss)
+        return 'loss, duplication and reordering for 3 s'
+
+    def break_link(self) -> str:
+        instance = self._pick_live()
+        if instance is None or not instance.links:
+            return 'nothing'
+        link = self.generator.choice(instance.links)
+        link.break_now()
+        return f'break a link of {instance.row.name}'
+
+    def _end_loss(self) -> None:
+        self.network.faults = Faults()
+
+    def _pick_live(self) -> SimulatedInstance | None:
+        live = [
+            instance
+            for instance in self.instances
+            if instance.is_alive
+            and not instance.is_paused
+            and instance.state is InstanceState.LIVE
+        ]
+        return self.generator.choice(live) if len(live) > 2 else None
+
+    def _declare_dead(self, instance: SimulatedInstance) -> None:
+        instance.state = InstanceState.DEAD
+        self.spread_view(1)
+
+    def _declare_back(self, instance: SimulatedInstance) -> None:
+        if instance.is_alive and instance.state is InstanceState.DEAD:
+            self._incarnation += 1
+            instance.incarnations.append(Incarnation(self._incarnation))
+            instance.state = InstanceState.LIVE
+            self.spread_view(1)
+
+    def _stop_spraying(self, instance: SimulatedInstance) -> None:
+        if instance in self.network.sprayed:
+            self.network.sprayed.remove(instance)
+
+    def _replace(self, instance: SimulatedInstance) -> None:
+        self.instances.remove(instance)
+        self.start_instance(instance.row)
+
+    async def _drain(self, instance: SimulatedInstance) -> None:
+        began_s = self.loop.time()
+        least_s = 3 * self.settings.flow.keepalive_ms / 1000
+        self.loop.call_later(1.0, self._stop_spraying, instance)
+        while self.loop.time() - began_s < 30:
+            await asyncio.sleep(TICK_S)
+            instance.data.retire_all(self.loop.time() * 1000)
+            if self.loop.time() - began_s > least_s and instance.data.is_drained:
+                break
+        instance.kill()
+        self._declare_dead(instance)
+        self.loop.call_later(3, self._replace, instance)
+
+    # Load
+
+    async def call(self, number: int, end_s: float) -> None:
+        """One caller: writes, reads of its own writes, and echoes."""
+        service = SERVICES[number % len(SERVICES)]
+        address = Endpoint('10.8.0.1', number % len(SERVICES) + 1)
+        client = Client(address, CUSTOMER, SECRET, ClientOptions())
+        self.clients.append(client)
+        try:
+            await client.open()
+        except OpenError:
+            self.report.unopened += 1
+            return
+        written: str | None = None
+        flow = client.flow
+        generator = random.Random(f'{number} {self.generator.random()}')
+        while self.loop.time() < end_s:
+            if client.flow != flow:
+                flow, written = client.flow, None
+            if generator.random() < 0.6:
+                written = await self._write(client, service, number, generator)
+            else:
+                await self._read(client, service, number, written, flow)
+            await asyncio.sleep(generator.uniform(0, 0.2))
+        await client.close()
+
+    async def _write(self, client, service, number, generator) -> str | None:
+        token = self._next_token()
+        answer = await self._ask(client, service, token, 'write', number, token)
+        size = generator.choice((0, 0, 0, 5000))
+        if size:
+            echo = self._next_token()
+            body = echo * size
+            echoed = await self._ask(client, service, echo, 'echo', number, body)
+            if echoed.status is Status.DONE and echoed.payload.decode() != body:
+                self.report.wrong_answers.append(f'echo {echo}')
+        return token if answer.status is Status.DONE else None
+
+    async def _read(self, client, service, number, written, flow) -> None:
+        token = self._next_token()
+        answer = await self._ask(client, service, token, 'read', number, '')
+        is_same = client.flow == flow
+        if answer.status is Status.DONE and written and is_same:
+            if answer.payload.decode() != written:
+                self.report.wrong_answers.append(f'read {token} after {written}')
+
+    async def _ask(self, client, service, token, operation, number, body):
+        header = {
+            'op': operation,
+            'key': f'caller-{number}',
+            'token': token,
+            'service': service,
+            'work_ms': self.generator.choice((1, 5, 20, 150)),
+        }
+        payload = json.dumps(header).encode() + b'\n' + body.encode()
+        is_idempotent = operation == 'read'
+        began_s = self.loop.time()
+        timeout_ms = 6000
+        answer = await client.request(
+            payload,
+            is_idempotent=is_idempotent,
+            timeout_ms=timeout_ms,
+        )
+        if self.loop.time() - began_s > timeout_ms / 1000 + 1:
+            self.report.overdue += 1
+        outcome = RequestOutcome(token, is_idempotent, answer.status, answer.reason)
+        self.report.outcomes.append(outcome)
+        return answer
+
+    def _next_token(self) -> str:
+        self._token += 1
+        return f't{self._token}.'
+
+    # Run
+
+    async def run(self, seconds: float, callers: int, events: tuple[str, ...]) -> None:
+        for row in self._upstream_rows:
+            self.start_upstream(row)
+        for row in self._instance_rows[:4]:
+            self.start_instance(row)
+        ticking = self.loop.create_task(self._tick())
+        await asyncio.sleep(1)
+        end_s = self.loop.time() + seconds
+        calls = [
+            self.loop.create_task(self.call(number, end_s)) for number in range(callers)
+        ]
+        while events and self.loop.time() < end_s - 4:
+            await asyncio.sleep(self.generator.uniform(0.5, 4))
+            event = self.generator.choice(events)
+            described = getattr(self, event)()
+            self.report.events.append(f'{self.loop.time() - end_s:.1f} {described}')
+        await asyncio.gather(*calls)
+        await asyncio.sleep(10)
+        ticking.cancel()
+        self._collect()
+
+    async def _tick(self) -> None:
+        while True:
+            for instance in tuple(self.instances):
+                instance.tick()
+            await asyncio.sleep(TICK_S)
+
+    def _collect(self) -> None:
+        report = self.report
+        for upstream in self.upstreams.values():
+            report.misrouted += upstream.counts['misrouted_requests']
+            for execution in upstream.executions:
+                runs = report.executions.get(execution.token, 0)
+                report.executions[execution.token] = runs + 1
+        for outcome in report.outcomes:
+            runs = report.executions.get(outcome.token, 0)
+            if runs > 1 and not outcome.is_idempotent:
+                report.double_runs.append(outcome.token)
+            if runs and outcome.status is Status.NOT_RUN:
+                report.false_not_run.append(f'{outcome.token} {outcome.reason}')
+        report.broken_flows = sum(client.counts.broken for client in self.clients)
+        report.resumed_flows = sum(client.counts.resumed for client in self.clients)
+
+
+def simulate(
+    seed: int,
+    seconds: float = 30,
+    callers: int = 12,
+    events: tuple[str, ...] = (),
+) -> Report:
+    """Run once and return the report; the same seed gives the same run."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    random.seed(seed)
+    fleet = Fleet(loop, seed)
+    try:
+        loop.run_until_complete(fleet.run(seconds, callers, events))
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+        asyncio.set_event_loop(None)
+    return fleet.report
+
+
+def _instance_row(number: int) -> InstanceRow:
+    address = Endpoint(f'10.0.0.{number + 1}', 9)
+    name = InstanceId(f'i{number}')
+    return InstanceRow(name, DOMAIN, REGION, address, OperatorState.LIVE)
+
+
+def _upstream_row(number: int, service: ServiceName) -> UpstreamRow:
+    return UpstreamRow(
+        name=UpstreamId(f'u{number}'),
+        service=service,
+        domain=DOMAIN,
+        region=REGION,
+        address=Endpoint('10.1.0.1', number),
+        stream_address=None,
+        slots=2,
+        state=OperatorState.LIVE,
+    )
--- a/tools/standins/upstream.py
+++ b/tools/standins/upstream.py
@@ -7,7 +7,6 @@
 import os
 import random
 import secrets
-import time
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -148,6 +147,18 @@
     ) -> None:
         """Serve one connection until it ends."""
         link = Link(writer)
+        self.accept(link)
+        try:
+            await self._read_frames(reader, link)
+        except (OSError, asyncio.IncompleteReadError, DecodeError, ValueError):
+            self.counts['links_broken'] += 1
+        finally:
+            link.is_open = False
+            self.links.discard(link)
+            writer.close()
+
+    def accept(self, link: Link) -> None:
+        """Send the first frames of a connection."""
         self.links.add(link)
         self.counts['links_accepted'] += 1
         hello = Hello(
@@ -162,14 +173,6 @@
         link.send(self._load_report())
         if self.behaviour.drain:
             link.send(UpstreamFrame(drain=Drain(is_draining=True)))
-        try:
-            await self._read_frames(reader, link)
-        except (OSError, asyncio.IncompleteReadError, DecodeError, ValueError):
-            self.counts['links_broken'] += 1
-        finally:
-            link.is_open = False
-            self.links.discard(link)
-            writer.close()
 
     async def _read_frames(self, reader: asyncio.StreamReader, link: Link) -> None:
         while True:
@@ -179,9 +182,10 @@
                 raise ValueError(f'frame of {length} bytes')
             frame = UpstreamFrame.FromString(await reader.readexactly(length))
             if not self.behaviour.mute:
-                self._handle(link, frame)
+                self.handle(link, frame)
 
-    def _handle(self, link: Link, frame: UpstreamFrame) -> None:
+    def handle(self, link: Link, frame: UpstreamFrame) -> None:
+        """Take one frame of an instance."""
         match frame.WhichOneof('body'):
             case 'hello':
                 self._take_hello(link, frame.hello)
@@ -565,8 +569,8 @@
 
 
 def now_ms() -> float:
-    """Return monotonic milliseconds."""
-    return time.monotonic() * 1000
+    """Return the time of the event loop in milliseconds."""
+    return asyncio.get_running_loop().time() * 1000
 
 
 async def serve(options: argparse.Namespace) -> None:
