Grant a new generation when a flow returns to an earlier home

Cause: a home that had lost a flow to another one and became owner again still held the flow as its own and answered a resume with the old generation. The caller kept being told to move until the flow was lost. Change: the entry counts as current only if no later generation is known.

--- a/src/cardamomtiller/flowserving.py
+++ b/src/cardamomtiller/flowserving.py
@@ -60,7 +60,7 @@
         if row and row.pending_generation:
             self._send_flow_open(row, now_ms)
             return
-        if row and row.is_home and row.customer == arrival.customer:
+        if row and row.customer == arrival.customer and _is_current(row, arrival):
             if arrival.packet.sequence > row.sequence:
                 row.sequence = arrival.packet.sequence
                 row.caller = arrival.caller
@@ -284,3 +284,9 @@
             else:
                 self._home.rows.pop(row.flow, None)
                 self._home.release(row.permit, now_ms)
+
+
+def _is_current(row: ServedFlow, arrival: Arrival) -> bool:
+    """Return whether no later home than this one has issued a cookie."""
+    known = arrival.cookie.generation if arrival.cookie else 0
+    return row.is_home and row.generation >= known
