Drop queued requests that their caller has given up

Change: requests below that id that have not been started are dropped. Conclusion: a caller that gave up may submit again without a double run.

--- a/src/cardamomtiller/flowserving.py
+++ b/src/cardamomtiller/flowserving.py
@@ -183,7 +183,7 @@
     ) -> None:
         """Ping the upstream, whose answer answers the keepalive."""
         first_open = RequestId(arrival.packet.keepalive.first_open_request_id)
-        self._home.parts.record.finish_below(row.flow, first_open, now_ms)
+        self._requests.finish_below(row.flow, first_open, now_ms)
         if not self._home.is_owner:
             self._home.send(row, Packet(moved=Moved()))
         silence_ms = now_ms - row.pong_ms
--- a/src/cardamomtiller/record.py
+++ b/src/cardamomtiller/record.py
@@ -104,18 +104,25 @@
         if self.look_up(request, generation) is not Verdict.FINISHED:
             self._put(request, Verdict.FENCED, generation, now_ms)
 
-    def finish_below(self, flow: FlowId, first_open: RequestId, now_ms: float) -> None:
-        """Forget requests of a flow that the caller says are finished."""
+    def finish_below(
+        self,
+        flow: FlowId,
+        first_open: RequestId,
+        now_ms: float,
+    ) -> tuple[RequestKey, ...]:
+        """Forget and return the requests that the caller says are finished."""
         if first_open <= 0:
-            return
+            return ()
         held = self._watermarks.get(flow, (RequestId(0), now_ms))[0]
         self._watermarks[flow] = (max(held, first_open), now_ms)
         self._watermarks.move_to_end(flow)
         if first_open <= held:
-            return
-        for request in tuple(self._by_flow.get(flow, ())):
-            if request.request < first_open:
-                self._drop(request)
+            return ()
+        known = self._by_flow.get(flow, set())
+        finished = tuple(row for row in known if row.request < first_open)
+        for request in finished:
+            self._drop(request)
+        return finished
 
     def expire(self, now_ms: float) -> int:
         """Drop what has outlived the retention; return how many requests."""
--- a/src/cardamomtiller/requestserving.py
+++ b/src/cardamomtiller/requestserving.py
@@ -95,6 +95,29 @@
             if request.key.flow == flow:
                 self._abandon(request, now_ms)
 
+    def finish_below(
+        self,
+        flow: FlowId,
+        first_open: RequestId,
+        now_ms: float,
+    ) -> None:
+        """
+        Drop the requests that the caller has given up.
+
+        A caller that was told nothing may have sent the request again, so one
+        that is still queued must not run any more.
+        """
+        record = self._home.parts.record
+        for key in record.finish_below(flow, first_open, now_ms):
+            request = self.requests.get(key)
+            if request is None or request.state is RequestState.RUNNING:
+                continue
+            self.scheduler.cancel(key, now_ms)
+            self._home.release(request.permit, now_ms)
+            self.requests.pop(key)
+            if request.state is not RequestState.ANSWERED:
+                self._home.count('request.given_up')
+
     def handle_request(
         self,
         row: ServedFlow,
@@ -105,7 +128,7 @@
         message = arrival.packet.request
         key = RequestKey(row.flow, RequestId(message.request_id))
         first_open = RequestId(message.first_open_request_id)
-        self._home.parts.record.finish_below(row.flow, first_open, now_ms)
+        self.finish_below(row.flow, first_open, now_ms)
         request = self.requests.get(key)
         if request is None:
             request = self._begin(row, key, arrival, now_ms)
