Add the burn report and the features for operators and the command line

Cause: operators could not see which customer and class uses up its error budget, and nothing guarded the commands of the one-file binary.

Change: report burn reads status endpoints or statsd lines and prints objective, events, burn rates over two windows, budget left and the alert as text, JSON or one HTML page. The command line is tested in a process in which pydantic cannot be imported.

--- /dev/null
+++ b/src/cardamomtiller/burn.py
@@ -0,0 +1,338 @@
+"""Service-level burn report from counters sampled over time."""
+
+import re
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from dataclasses import asdict, dataclass
+from enum import Enum
+from itertools import groupby
+from operator import attrgetter
+from typing import Any
+
+from cardamomtiller.document import ObjectiveRow
+from cardamomtiller.identity import (
+    MS_PER_S,
+    CustomerId,
+    ServiceClass,
+    ServiceName,
+)
+
+COUNTER_PREFIX = 'sli.'
+# Burn rates at which a budget for 30 days is used up within about 2 and 5 days;
+# the usual pair for paging and for a ticket.
+FAST_BURN = 14.4
+SLOW_BURN = 6.0
+SHORT_WINDOW_MS = 300_000.0
+LONG_WINDOW_MS = 3_600_000.0
+RATE_DIGITS = 9
+
+_STATSD_LINE = re.compile(
+    r'(?:(?P<time_s>\d+(?:\.\d+)?)\s+)?'
+    r'(?P<name>[^\s:|]+):(?P<value>[+-]?\d+(?:\.\d+)?)\|c'
+    r'(?:\|@(?P<rate>\d*\.?\d+))?'
+)
+
+
+class Alert(Enum):
+    """Which alert threshold is crossed in both windows."""
+
+    NONE = 'none'
+    SLOW = 'slow'
+    FAST = 'fast'
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class SliKey:
+    """One service, customer and class."""
+
+    service: ServiceName
+    customer: CustomerId
+    service_class: str
+
+
+@dataclass(frozen=True, slots=True)
+class Growth:
+    """
+    Growth of the good and bad events of one key up to a time.
+
+    Growth without a time happened before the first sample; it belongs to the
+    budget and to no window.
+    """
+
+    key: SliKey
+    time_ms: float | None
+    good: float
+    bad: float
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """Counters of one instance since its start, read at one time."""
+
+    source: str
+    time_ms: float
+    counts: Mapping[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class BurnOptions:
+    """Windows and thresholds of the report."""
+
+    short_window_ms: float = SHORT_WINDOW_MS
+    long_window_ms: float = LONG_WINDOW_MS
+    fast_burn: float = FAST_BURN
+    slow_burn: float = SLOW_BURN
+
+
+@dataclass(frozen=True, slots=True)
+class BurnRow:
+    """
+    Burn of one key.
+
+    A burn rate of 1 uses the error budget exactly up; ``budget_left`` is the
+    unused share of the budget over all events read, and negative when more than
+    the budget is used. Rates are None without events.
+    """
+
+    key: SliKey
+    target: float
+    latency_ms: float
+    good: float
+    bad: float
+    short_burn: float | None
+    long_burn: float | None
+    budget_left: float | None
+    alert: Alert
+    history: tuple[tuple[float, float], ...]
+
+
+def read_samples(
+    samples: Iterable[Sample],
+    services: Iterable[ServiceName],
+) -> Iterator[Growth]:
+    """
+    Turn counters since start into growth.
+
+    Parameters
+    ----------
+    samples
+        Samples in order of time. A counter that is lower than in the sample
+        before belongs to an instance that started again, and counts from zero.
+    services
+        Services with objectives, to split counter names.
+    """
+    split = _splitter(services)
+    last: dict[str, Mapping[str, float]] = {}
+    for sample in samples:
+        before = last.get(sample.source)
+        last[sample.source] = sample.counts
+        for name, total in sample.counts.items():
+            known = split(name)
+            if known is None:
+                continue
+            earlier = (before or {}).get(name, 0)
+            growth = total - earlier if total >= earlier else total
+            time_ms = None if before is None else sample.time_ms
+            yield _growth(known, time_ms, growth)
+
+
+def read_statsd(
+    lines: Iterable[str],
+    services: Iterable[ServiceName],
+) -> Iterator[Growth]:
+    """
+    Read counter lines of statsd, each with an optional time in seconds before.
+
+    A line without a time has the time of the line before it. Other lines,
+    gauges and timers are left out.
+    """
+    split = _splitter(services)
+    time_ms: float = 0
+    for line in lines:
+        match = _STATSD_LINE.fullmatch(line.strip())
+        if match is None:
+            continue
+        if match['time_s']:
+            time_ms = float(match['time_s']) * MS_PER_S
+        known = split(match['name'])
+        if known is not None:
+            amount = float(match['value']) / float(match['rate'] or 1)
+            yield _growth(known, time_ms, amount)
+
+
+def make_report(
+    growths: Iterable[Growth],
+    objectives: Iterable[ObjectiveRow],
+    options: BurnOptions,
+) -> tuple[BurnRow, ...]:
+    """
+    Compute the report.
+
+    Parameters
+    ----------
+    growths
+        Growth of the counters in any order.
+    objectives
+        Published objectives; keys without one are left out.
+    options
+        Windows, which end at the last time of any growth, and thresholds.
+
+    Returns
+    -------
+    tuple
+        One row per service, customer and class, by name.
+    """
+    by_class = {
+        (row.service, row.service_class.name.lower()): row for row in objectives
+    }
+    rows = sorted(growths, key=attrgetter('key'))
+    end_ms = max((row.time_ms for row in rows if row.time_ms is not None), default=0)
+    report: list[BurnRow] = []
+    for key, group in groupby(rows, key=attrgetter('key')):
+        objective = by_class.get((key.service, key.service_class))
+        if objective is not None:
+            report.append(_make_row(key, tuple(group), objective, options, end_ms))
+    return tuple(report)
+
+
+def as_json(rows: Iterable[BurnRow]) -> list[dict[str, Any]]:
+    """Return the report as JSON values."""
+    return [{**asdict(row), 'alert': row.alert.value} for row in rows]
+
+
+def as_text(rows: Sequence[BurnRow]) -> Iterator[str]:
+    """Iterate over the lines of the report as a table."""
+    table = [list(TITLES), *(cells(row) for row in rows)]
+    widths = [max(len(line[index]) for line in table) for index in range(len(TITLES))]
+    for line in table:
+        padded = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        yield '  '.join(padded).rstrip()
+
+
+TITLES = (
+    'service',
+    'customer',
+    'class',
+    'objective',
+    'good',
+    'bad',
+    'short burn',
+    'long burn',
+    'budget left',
+    'alert',
+)
+
+
+def cells(row: BurnRow) -> list[str]:
+    """Return the cells of one row as text."""
+    return [
+        row.key.service,
+        row.key.customer,
+        row.key.service_class,
+        f'{row.target:.3%} within {row.latency_ms:g} ms',
+        f'{row.good:.0f}',
+        f'{row.bad:.0f}',
+        _optional(row.short_burn, '.2f'),
+        _optional(row.long_burn, '.2f'),
+        _optional(row.budget_left, '.1%'),
+        row.alert.value,
+    ]
+
+
+def _optional(value: float | None, form: str) -> str:
+    return '-' if value is None else format(value, form)
+
+
+_Known = tuple[SliKey, bool]
+
+
+def _splitter(services: Iterable[ServiceName]) -> Callable[[str], _Known | None]:
+    names = sorted(set(services), key=len, reverse=True)
+    classes = {member.name.lower() for member in ServiceClass}
+
+    def split(name: str) -> _Known | None:
+        # Names of services and customers may contain dots, so the counter's
+        # service is the longest published one that it starts with.
+        _, found, rest = f'.{name}'.partition(f'.{COUNTER_PREFIX}')
+        service = next((row for row in names if rest.startswith(f'{row}.')), None)
+        if not found or service is None:
+            return None
+        middle, _, kind = rest[len(service) + 1 :].rpartition('.')
+        customer, _, service_class = middle.rpartition('.')
+        if kind not in {'good', 'bad'} or service_class not in classes or not customer:
+            return None
+        return SliKey(service, CustomerId(customer), service_class), kind == 'good'
+
+    return split
+
+
+def _growth(known: _Known, time_ms: float | None, amount: float) -> Growth:
+    key, is_good = known
+    return Growth(
+        key=key,
+        time_ms=time_ms,
+        good=amount if is_good else 0,
+        bad=0 if is_good else amount,
+    )
+
+
+def _make_row(
+    key: SliKey,
+    growths: Sequence[Growth],
+    objective: ObjectiveRow,
+    options: BurnOptions,
+    end_ms: float,
+) -> BurnRow:
+    timed = [(row.time_ms, row) for row in growths if row.time_ms is not None]
+    short, long = (
+        _burn_rate(
+            (row for time_ms, row in timed if time_ms > end_ms - window_ms),
+            objective.target,
+        )
+        for window_ms in (options.short_window_ms, options.long_window_ms)
+    )
+    total = _burn_rate(growths, objective.target)
+    return BurnRow(
+        key=key,
+        target=objective.target,
+        latency_ms=objective.latency_ms,
+        good=sum(row.good for row in growths),
+        bad=sum(row.bad for row in growths),
+        short_burn=short,
+        long_burn=long,
+        budget_left=None if total is None else 1 - total,
+        alert=_alert(short, long, options),
+        history=tuple(_history(timed, objective.target)),
+    )
+
+
+def _burn_rate(growths: Iterable[Growth], target: float) -> float | None:
+    good: float = 0
+    bad: float = 0
+    for row in growths:
+        good += row.good
+        bad += row.bad
+    events = good + bad
+    if not events:
+        return None
+    # 1 - target is inexact; a rate at a threshold must not fall just below it.
+    return round(bad / events / (1 - target), RATE_DIGITS)
+
+
+def _alert(short: float | None, long: float | None, options: BurnOptions) -> Alert:
+    # The long window shows that enough is lost to matter, the short one that it
+    # is still being lost.
+    lower = min(short or 0, long or 0)
+    if lower >= options.fast_burn:
+        return Alert.FAST
+    return Alert.SLOW if lower >= options.slow_burn else Alert.NONE
+
+
+def _history(
+    timed: Iterable[tuple[float, Growth]],
+    target: float,
+) -> Iterator[tuple[float, float]]:
+    ordered = sorted(timed, key=lambda pair: pair[0])
+    for time_ms, group in groupby(ordered, key=lambda pair: pair[0]):
+        rate = _burn_rate((row for _, row in group), target)
+        if rate is not None:
+            yield time_ms, rate
--- a/src/cardamomtiller/cli.py
+++ b/src/cardamomtiller/cli.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
-from collections.abc import Callable, Mapping
+import time
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import asdict
 from importlib import metadata
 from pathlib import Path
 from typing import Annotated, Any, NoReturn
@@ -12,10 +14,10 @@
 from typer.completion import get_completion_inspect_parameters
 from typer.core import TyperCommand, TyperGroup
 
-from cardamomtiller import check, log, status
+from cardamomtiller import burn, burn_page, check, log, status
 from cardamomtiller.cookie import Explanation, explain_cookie
-from cardamomtiller.document import KeyRow
-from cardamomtiller.identity import Endpoint, parse_endpoint
+from cardamomtiller.document import KeyRow, ObjectiveRow
+from cardamomtiller.identity import MS_PER_S, Endpoint, parse_endpoint
 from cardamomtiller.settings import load_settings
 
 EXIT_FAILURE = 1
@@ -92,12 +94,25 @@
 )
 
 
-def _command(name: str, example: str) -> Callable[[Any], Any]:
-    return app.command(
+report_app = typer.Typer(
+    cls=PlainGroup,
+    no_args_is_help=True,
+    rich_markup_mode=None,
+    help='Reports over the counters of instances.',
+)
+app.add_typer(report_app, name='report')
+
+
+def _command(
+    name: str,
+    example: str,
+    parent: typer.Typer = app,
+    path: str = '',
+) -> Callable[[Any], Any]:
+    return parent.command(
         name,
         cls=PlainCommand,
-        no_args_is_help=False,
-        epilog=f'Example: cardamomtiller {name} {example}'.rstrip(),
+        epilog=f'Example: cardamomtiller {path}{name} {example}'.rstrip(),
     )
 
 
@@ -189,6 +204,122 @@
     _print_path(address, status.FLOWS_PATH)
 
 
+@_command(
+    'burn',
+    '--lists lists --address 127.0.0.1:9402 --samples 60 --form html',
+    report_app,
+    'report ',
+)
+def report_burn(
+    lists: ListsOption,
+    address: Annotated[
+        list[str] | None,
+        typer.Option('--address', help='Status address to sample; may be repeated.'),
+    ] = None,
+    statsd: Annotated[
+        str,
+        typer.Option('--statsd', help='File of statsd lines instead of addresses.'),
+    ] = '',
+    samples: Annotated[
+        int, typer.Option('--samples', help='How often each address is read.')
+    ] = 2,
+    interval_ms: Annotated[
+        float, typer.Option('--interval-ms', help='Time between two samples.')
+    ] = 1000,
+    short_window_ms: Annotated[
+        float, typer.Option('--short-window-ms', help='Length of the short window.')
+    ] = burn.SHORT_WINDOW_MS,
+    long_window_ms: Annotated[
+        float, typer.Option('--long-window-ms', help='Length of the long window.')
+    ] = burn.LONG_WINDOW_MS,
+    fast_burn: Annotated[
+        float, typer.Option('--fast-burn', help='Burn rate of the fast alert.')
+    ] = burn.FAST_BURN,
+    slow_burn: Annotated[
+        float, typer.Option('--slow-burn', help='Burn rate of the slow alert.')
+    ] = burn.SLOW_BURN,
+    form: Annotated[
+        str, typer.Option('--form', help='Form of the report: text, json or html.')
+    ] = 'text',
+) -> None:
+    """Print how fast each service, customer and class uses its error budget."""
+    if form not in _FORMS:
+        raise typer.BadParameter(f'{form!r} is none of {", ".join(_FORMS)}')
+    if bool(address) == bool(statsd):
+        raise typer.BadParameter('give either --address or --statsd')
+    objectives = tuple(_read_objectives(Path(lists)))
+    services = {row.service for row in objectives}
+    options = burn.BurnOptions(short_window_ms, long_window_ms, fast_burn, slow_burn)
+    if statsd:
+        growths = tuple(burn.read_statsd(_read_lines(Path(statsd)), services))
+    else:
+        addresses = tuple(_parse_address(text) for text in address or ())
+        taken = asyncio.run(_sample(addresses, samples, interval_ms))
+        growths = tuple(burn.read_samples(taken, services))
+    report = burn.make_report(growths, objectives, options)
+    typer.echo(_FORMS[form](report, options))
+
+
+def _text_form(rows: tuple[burn.BurnRow, ...], _: burn.BurnOptions) -> str:
+    return '\n'.join(burn.as_text(rows))
+
+
+def _json_form(rows: tuple[burn.BurnRow, ...], options: burn.BurnOptions) -> str:
+    return json.dumps(
+        {'options': asdict(options), 'rows': burn.as_json(rows)}, indent=2
+    )
+
+
+_FORMS: Mapping[
+    str,
+    Callable[[tuple[burn.BurnRow, ...], burn.BurnOptions], str],
+] = {'text': _text_form, 'json': _json_form, 'html': burn_page.as_html}
+
+
+def _read_objectives(folder: Path) -> Iterable[ObjectiveRow]:
+    lists = check.read_lists(folder)
+    objectives = lists.catalog.objectives.values()
+    if not objectives:
+        _report_findings(lists.findings or (f'{folder}: no objectives',))
+    return objectives
+
+
+def _read_lines(path: Path) -> list[str]:
+    try:
+        return path.read_text(encoding='utf-8').splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        _fail(f'{path}: cannot be read: {error}')
+
+
+async def _sample(
+    addresses: tuple[Endpoint, ...],
+    rounds: int,
+    interval_ms: float,
+) -> list[burn.Sample]:
+    taken: list[burn.Sample] = []
+    for index in range(rounds):
+        if index:
+            await asyncio.sleep(interval_ms / MS_PER_S)
+        path = status.COUNTERS_PATH
+        fetched = await asyncio.gather(
+            *(status.fetch_json(address, path) for address in addresses),
+        )
+        for address, answer in zip(addresses, fetched, strict=True):
+            if isinstance(answer, Failure):
+                # The other instances are still reported.
+                typer.echo(answer.failure(), err=True)
+            else:
+                taken.append(_to_sample(address, answer.unwrap()))
+    return taken
+
+
+def _to_sample(address: Endpoint, answer: status.Json) -> burn.Sample:
+    counts = answer.get('counters') if isinstance(answer, Mapping) else None
+    if not isinstance(counts, Mapping):
+        _fail(f'{address}: answer has no counters')
+    return burn.Sample(str(address), time.time() * MS_PER_S, counts)
+
+
 def _print_path(address: str, path: str) -> None:
     log.set_up_command_log()
     fetched = asyncio.run(status.fetch_json(_parse_address(address), path))
--- a/src/cardamomtiller/cookie.py
+++ b/src/cardamomtiller/cookie.py
@@ -167,6 +167,8 @@
 
 
 def _fields(body: bytes) -> Iterator[tuple[str, str]]:
+    if not body:
+        return
     try:
         cookie = Cookie.FromString(body)
     except DecodeError:
--- /dev/null
+++ b/tests/features/commandline.feature
@@ -0,0 +1,40 @@
+@live
+Feature: Commands work without pydantic, which the one-file binary leaves out
+
+  Scenario Outline: Every command explains itself with an example
+    When the command line runs with "<arguments> --help"
+    Then it exits with 0 and prints "Example: cardamomtiller <arguments>"
+
+    Examples:
+      | arguments   |
+      | version     |
+      | run         |
+      | check       |
+      | cookie      |
+      | status      |
+      | flows       |
+      | report burn |
+
+  Scenario: Lists without findings exit with 0, lists with findings exit with 2
+    When the command line runs with "check --settings examples/instance.ini --lists examples/lists-vuniwai"
+    Then it exits with 0 and prints "no findings"
+    When the command line runs with "check --lists examples"
+    Then it exits with 2 and prints "plans.ini: missing"
+
+  Scenario: Wrong options are refused with one line, not with a traceback
+    When the command line runs with "status --address nowhere"
+    Then it exits with 2 and prints "not HOST:PORT"
+    When the command line runs with "report burn --lists examples/lists-vuniwai --address 127.0.0.1:1 --samples many"
+    Then it exits with 2 and prints "is not a number"
+    When the command line runs with "report burn --lists examples/lists-vuniwai"
+    Then it exits with 2 and prints "give either --address or --statsd"
+    When the command line runs with "cookie zz --flow 00 --lists examples/lists-vuniwai"
+    Then it exits with 2 and prints "not hex digits"
+    When the command line runs with "run --settings examples/nothing.ini"
+    Then it exits with 2 and prints "cannot be read"
+
+  Scenario: Completion in bash offers commands and options
+    When bash asks to complete "cardamomtiller rep"
+    Then it exits with 0 and prints "report"
+    When bash asks to complete "cardamomtiller check --"
+    Then it exits with 0 and prints "--lists"
--- /dev/null
+++ b/tests/features/operators.feature
@@ -0,0 +1,126 @@
+Feature: Operators see every mistake at once and figures that are right
+
+  Scenario Outline: The example lists pass the check, so operators can start from them
+    Then the example lists "<folder>" pass the check and have <instances> instances and <upstreams> upstreams
+
+    Examples:
+      | folder        | instances | upstreams |
+      | lists-vuniwai | 9         | 11        |
+      | lists-saomai  | 9         | 10        |
+
+  Scenario: The example settings pass the check and are up to date with the schema
+    Then the example settings pass the check with "lists-vuniwai"
+    And the example settings equal what the schema generates
+    And the example settings with every comment sign removed hold all defaults
+
+  Scenario: All findings of settings and lists are reported together, not one at a time
+    Given a copy of the example lists "lists-vuniwai"
+    And in list "plans" the text "rate_per_s = 20" becomes "rate_per_s = -1"
+    And in list "keys" the text "state = accepted" becomes "state = current"
+    And the list "customers" is removed
+    And settings with an unknown key
+    Then the check finds exactly
+      | source        | section    | key        |
+      | instance.ini  | flow       | colour     |
+      | customers.ini |            |            |
+      | keys.ini      |            |            |
+      | plans.ini     | plan small | rate_per_s |
+
+  Scenario: Contradictions between lists are found with the list and the key
+    Given a copy of the example lists "lists-vuniwai"
+    And in list "customers" the text "plan = plain-tcp" becomes "plan = gone"
+    And in list "services" the text "stream_customer = walk-in" becomes "stream_customer ="
+    And in list "upstreams.nadi-a" the text "stream_address = 127.1.3.2:7501" becomes "stream_address ="
+    And in list "upstreams.nadi-b" the text "address = 127.1.2.2:7500" becomes "address = 127.1.2.1:7500"
+    And in list "upstreams.lautoka-a" the text "region = viti-west" becomes "region = elsewhere"
+    Then the check finds exactly
+      | source                  | section                | key             |
+      | customers.ini           | customer walk-in       | plan            |
+      | services.ini            | service patternhouse   | stream_customer |
+      | upstreams.nadi-a.ini    | upstream patternhouse-2 | stream_address |
+      | upstreams.nadi-b.ini    | upstream orderdesk-2   | address         |
+      | upstreams.lautoka-a.ini | domain                 | region          |
+
+  Scenario: Settings of an instance that is not published as such are found
+    Given a copy of the example lists "lists-vuniwai"
+    And settings that differ from the published instance
+    Then the check finds exactly
+      | source       | section  | key                |
+      | instance.ini | flow     | flow_idle_ms       |
+      | instance.ini | instance | failure_domain     |
+      | instance.ini | instance | peer_address       |
+      | instance.ini | entrance | stream_addresses   |
+
+  Scenario: The status endpoint answers only what it serves, and survives a faulty view
+    Given a status endpoint
+    Then "/status", "/flows" and "/counters" are read as JSON
+    And "/nothing" is refused as "404 Not Found"
+    And a request that is not GET is refused as "405"
+    And bytes that are not HTTP are refused as "400"
+    And a view that raises an error is answered as "500" and the next request works
+    And a client that sends nothing does not delay another one
+    And an address without endpoint gives a one-line error
+
+  Scenario: Burn rates, budget and alerts equal figures calculated by hand
+    Given an objective of 0.99 for service "desk" class "urgent"
+    And counters sampled from two instances
+      | time_s | source | good | bad |
+      | 0      | a      | 1000 | 0   |
+      | 0      | b      | 500  | 0   |
+      | 3000   | a      | 1800 | 200 |
+      | 3000   | b      | 1000 | 0   |
+      | 3500   | a      | 2600 | 400 |
+      | 3500   | b      | 50   | 0   |
+    When the burn is reported with windows of 300 s and 3600 s
+    # short: 800 + 50 good, 200 bad; long: 800 + 500 + 800 + 50 good, 400 bad;
+    # budget: 3650 good, 400 bad. Instance b started again before 3500 s.
+    Then the short burn is 19.047619 and the long burn is 15.686275
+    And the budget left is -8.876543
+    And the alert is "fast"
+
+  Scenario Outline: An alert needs its threshold in both windows
+    Given an objective of 0.99 for service "desk" class "urgent"
+    And statsd lines with <old_bad> of 1000 bad in the first minute and <new_bad> of 1000 bad an hour later
+    When the burn is reported with windows of 300 s and 7200 s
+    Then the short burn is <short> and the long burn is <long>
+    And the alert is "<alert>"
+
+    Examples:
+      | old_bad | new_bad | short | long | alert |
+      | 144     | 144     | 14.4  | 14.4 | fast  |
+      | 143     | 144     | 14.4  | 14.35 | slow |
+      | 288     | 59      | 5.9   | 17.35 | none |
+      | 60      | 60      | 6.0   | 6.0  | slow  |
+      | 0       | 110     | 11.0  | 5.5  | none  |
+
+  Scenario: Names with dots and lines that are not counters do not disturb the report
+    Given an objective of 0.9 for service "desk.north" class "bulk"
+    Then these statsd lines count 30 good and 10 bad events
+      """
+      5 cardamomtiller.sli.desk.north.a.b.bulk.good:10|c
+      cardamomtiller.sli.desk.north.a.b.bulk.good:2|c|@0.1
+      cardamomtiller.sli.desk.north.a.b.bulk.bad:10|c
+      cardamomtiller.sli.desk.north.a.b.urgent.bad:7|c
+      cardamomtiller.sli.other.a.b.bulk.bad:7|c
+      cardamomtiller.sli.desk.north.a.b.bulk.good:9|g
+      cardamomtiller.relay.finished:4|c
+      not a line
+      """
+
+  Scenario: The HTML report stands alone, shows text as text and has a plot per row
+    Given an objective of 0.99 for service "desk" class "urgent"
+    And statsd lines of a customer named "<b>&"
+    When the burn is reported with windows of 300 s and 3600 s
+    Then the page has 1 plot and refers to nothing outside
+    And the customer's name is shown and not interpreted
+
+  Scenario: A cookie is explained, and why it is not valid
+    Given a cookie sealed with key 2 of the example lists
+    Then it is explained as valid with key 2 "current" and service "orderdesk"
+    And for another flow it is explained as "does not match"
+    And with key id 9 it is explained as "not published"
+    And cut short it is explained as "cannot be decoded"
+
+  Scenario: JSON log lines are one object each, with braces and errors in them
+    Then a logged message "{x} [y]" with an error is one JSON line with the fields time, level, module, message, instance and error
+    And a level below the chosen one is not written
--- /dev/null
+++ b/tests/features/steps/operators_steps.py
@@ -0,0 +1,384 @@
+"""Steps for check, status, burn report, cookie explanation and log lines."""
+
+import asyncio
+import io
+import json
+import re
+import shutil
+import tempfile
+from pathlib import Path
+from xml.etree import ElementTree
+
+from behave import given, then, when
+from loguru import logger
+from returns.result import Success
+
+from cardamomtiller import burn, burn_page, check, log, status
+from cardamomtiller.cookie import CookieSealer, explain_cookie
+from cardamomtiller.document import ObjectiveRow
+from cardamomtiller.identity import Endpoint, FlowId, ServiceClass, ServiceName
+from cardamomtiller.settings import parse_settings
+from cardamomtiller.wire_pb2 import Cookie
+from tools import write_example
+
+EXAMPLES = Path(__file__).resolve().parents[3] / 'examples'
+SETTINGS = EXAMPLES / 'instance.ini'
+FLOW = FlowId(b'o' * 16)
+
+
+@then(
+    'the example lists "{folder}" pass the check and have '
+    '{instances:d} instances and {upstreams:d} upstreams'
+)
+def check_example_lists(context, folder, instances, upstreams):
+    assert not check.check_files(None, EXAMPLES / folder)
+    catalog = check.read_lists(EXAMPLES / folder).catalog
+    assert len(catalog.instances) == instances
+    assert len(catalog.upstreams) == upstreams
+
+
+@then('the example settings pass the check with "{folder}"')
+def check_example_settings(context, folder):
+    findings = check.check_files(SETTINGS, EXAMPLES / folder)
+    assert not findings, findings
+
+
+@then('the example settings equal what the schema generates')
+def check_example_current(context):
+    assert SETTINGS.read_text() == write_example.render()
+
+
+@then('the example settings with every comment sign removed hold all defaults')
+def check_example_defaults(context):
+    text = SETTINGS.read_text()
+    commented = parse_settings(text, 'x').unwrap()
+    explicit = re.sub(r'^# (\w+ =)', r'\1', text, flags=re.MULTILINE)
+    assert explicit != text
+    assert parse_settings(explicit, 'x').unwrap() == commented
+
+
+@given('a copy of the example lists "{folder}"')
+def copy_lists(context, folder):
+    holder = tempfile.TemporaryDirectory()
+    context.add_cleanup(holder.cleanup)
+    context.lists = Path(holder.name) / 'lists'
+    context.settings_path = None
+    shutil.copytree(EXAMPLES / folder, context.lists)
+
+
+@given('in list "{name}" the text "{old}" becomes "{new}"')
+def change_list(context, name, old, new):
+    path = context.lists / f'{name}.ini'
+    text = path.read_text()
+    assert old in text, f'{old!r} is not in {name}'
+    path.write_text(text.replace(old, new, 1))
+
+
+@given('the list "{name}" is removed')
+def remove_list(context, name):
+    (context.lists / f'{name}.ini').unlink()
+
+
+@given('settings with an unknown key')
+def write_unknown_key(context):
+    text = SETTINGS.read_text().replace('[flow]', '[flow]\ncolour = blue')
+    write_settings(context, text)
+
+
+@given('settings that differ from the published instance')
+def write_other_settings(context):
+    text = SETTINGS.read_text()
+    text = text.replace('failure_domain = nadi-a', 'failure_domain = nadi-b')
+    text = text.replace('127.1.1.1:9401', '127.1.1.77:9401')
+    text = text.replace('# flow_idle_ms = 30000', 'flow_idle_ms = 1999')
+    text = text.replace('# stream_addresses =', 'stream_addresses = nosuch=127.0.0.1:1')
+    write_settings(context, text)
+
+
+def write_settings(context, text):
+    """Write settings beside the copied lists."""
+    context.settings_path = context.lists.parent / 'instance.ini'
+    context.settings_path.write_text(text)
+
+
+@then('the check finds exactly')
+def check_findings_exactly(context):
+    findings = check.check_files(context.settings_path, context.lists)
+    found = {
+        (Path(row.place.source).name, row.place.section, row.place.key)
+        for row in findings
+    }
+    expected = {tuple(row) for row in context.table}
+    assert found == expected, '\n'.join(map(str, findings))
+
+
+class Provider(status.StatusProvider):
+    """A provider with one faulty view."""
+
+    is_faulty = False
+
+    def status(self):
+        if self.is_faulty:
+            raise RuntimeError('faulty view')
+        return {'view': 'status'}
+
+    def flows(self):
+        return ['flows']
+
+    def counters(self):
+        return {'counters': {'x': 1}}
+
+
+@given('a status endpoint')
+def start_status(context):
+    context.provider = Provider()
+    context.status_loop = asyncio.new_event_loop()
+    server = status.StatusServer(context.provider, Endpoint('127.0.0.1', 0))
+    context.status_loop.run_until_complete(server.start())
+    context.status_address = server.address
+    context.add_cleanup(context.status_loop.close)
+    context.add_cleanup(server.stop)
+
+
+def fetch(context, path):
+    """Read one path of the scenario's endpoint."""
+    work = status.fetch_json(context.status_address, path)
+    return context.status_loop.run_until_complete(work)
+
+
+def send_raw(context, data):
+    """Send bytes and return the answer."""
+
+    async def exchange():
+        address = context.status_address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(data)
+        answer = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        return answer
+
+    return context.status_loop.run_until_complete(exchange())
+
+
+@then('"/status", "/flows" and "/counters" are read as JSON')
+def check_views(context):
+    assert fetch(context, '/status') == Success({'view': 'status'})
+    assert fetch(context, '/flows') == Success(['flows'])
+    assert fetch(context, '/counters') == Success({'counters': {'x': 1}})
+
+
+@then('"{path}" is refused as "{text}"')
+def check_refused_path(context, path, text):
+    assert text in fetch(context, path).failure()
+
+
+@then('a request that is not GET is refused as "{code}"')
+def check_refused_method(context, code):
+    answer = send_raw(context, b'POST /status HTTP/1.1\r\n\r\n')
+    assert answer.split()[1] == code.encode(), answer
+
+
+@then('bytes that are not HTTP are refused as "{code}"')
+def check_refused_bytes(context, code):
+    answer = send_raw(context, b'\x00\xff\x01\r\n\r\n')
+    assert answer.split()[1] == code.encode(), answer
+
+
+@then('a view that raises an error is answered as "{code}" and the next request works')
+def check_faulty_view(context, code):
+    logger.remove()
+    context.provider.is_faulty = True
+    assert code in fetch(context, '/status').failure()
+    context.provider.is_faulty = False
+    assert isinstance(fetch(context, '/status'), Success)
+
+
+@then('a client that sends nothing does not delay another one')
+def check_silent_client(context):
+    async def exchange():
+        address = context.status_address
+        _, silent = await asyncio.open_connection(address.host, address.port)
+        answer = await status.fetch_json(address, '/status', timeout_ms=1000)
+        silent.close()
+        return answer
+
+    answer = context.status_loop.run_until_complete(exchange())
+    assert isinstance(answer, Success), answer
+
+
+@then('an address without endpoint gives a one-line error')
+def check_no_endpoint(context):
+    context.status_address = Endpoint('127.0.0.1', 1)
+    error = fetch(context, '/status').failure()
+    assert '127.0.0.1:1' in error and '\n' not in error
+
+
+@given('an objective of {target:g} for service "{service}" class "{name}"')
+def set_objective(context, target, service, name):
+    context.objectives = [
+        ObjectiveRow(ServiceName(service), ServiceClass[name.upper()], 250, target)
+    ]
+    context.sli = f'sli.{service}.c1.{name}'
+
+
+@given('counters sampled from two instances')
+def take_samples(context):
+    samples = [
+        burn.Sample(
+            row['source'],
+            float(row['time_s']) * 1000,
+            {
+                f'{context.sli}.good': int(row['good']),
+                f'{context.sli}.bad': int(row['bad']),
+                'relay.finished': 7,
+            },
+        )
+        for row in context.table
+    ]
+    context.growths = list(burn.read_samples(samples, services_of(context)))
+
+
+def services_of(context):
+    """Return the services with objectives."""
+    return [row.service for row in context.objectives]
+
+
+@given(
+    'statsd lines with {old_bad:d} of 1000 bad in the first minute '
+    'and {new_bad:d} of 1000 bad an hour later'
+)
+def write_statsd(context, old_bad, new_bad):
+    lines = []
+    for time_s, bad in ((60, old_bad), (3660, new_bad)):
+        lines.append(f'{time_s} p.{context.sli}.good:{1000 - bad}|c')
+        lines.append(f'p.{context.sli}.bad:{bad}|c')
+    context.growths = list(burn.read_statsd(lines, services_of(context)))
+
+
+@given('statsd lines of a customer named "{name}"')
+def write_statsd_of(context, name):
+    prefix = f'sli.desk.{name}.urgent'
+    lines = [f'{time_s} {prefix}.good:9|c' for time_s in (1, 2, 3)]
+    context.growths = list(burn.read_statsd(lines, services_of(context)))
+    context.shown_name = name
+
+
+@when('the burn is reported with windows of {short:d} s and {long:d} s')
+def report_burn(context, short, long):
+    context.options = burn.BurnOptions(short * 1000, long * 1000)
+    rows = burn.make_report(context.growths, context.objectives, context.options)
+    context.report = rows
+    (context.row,) = rows
+
+
+@then('the short burn is {short:g} and the long burn is {long:g}')
+def check_rates(context, short, long):
+    row = context.row
+    assert abs(row.short_burn - short) < 1e-6, row
+    assert abs(row.long_burn - long) < 1e-6, row
+
+
+@then('the budget left is {left:g}')
+def check_budget(context, left):
+    assert abs(context.row.budget_left - left) < 1e-6, context.row
+
+
+@then('the alert is "{name}"')
+def check_alert(context, name):
+    assert context.row.alert.value == name, context.row
+    assert json.loads(json.dumps(burn.as_json(context.report)))[0]['alert'] == name
+    assert name in list(burn.as_text(context.report))[1].split()
+
+
+@then('these statsd lines count {good:d} good and {bad:d} bad events')
+def check_lines(context, good, bad):
+    growths = burn.read_statsd(context.text.splitlines(), services_of(context))
+    rows = burn.make_report(growths, context.objectives, burn.BurnOptions())
+    assert [(row.key.customer, row.good, row.bad) for row in rows] == [
+        ('a.b', good, bad)
+    ], rows
+
+
+@then('the page has {count:d} plot and refers to nothing outside')
+def check_page(context, count):
+    context.page = burn_page.as_html(context.report, context.options)
+    assert context.page.count('<polyline') == count
+    assert not re.search('https?:|src=|href=|url\\(', context.page)
+
+
+@then("the customer's name is shown and not interpreted")
+def check_name(context):
+    text = context.page.replace('<meta charset="utf-8">', '').partition('\n')[2]
+    tree = ElementTree.fromstring(text)
+    assert context.shown_name in [cell.text for cell in tree.iter('td')]
+
+
+@given('a cookie sealed with key {key_id:d} of the example lists')
+def seal_example(context, key_id):
+    lists = check.read_lists(EXAMPLES / 'lists-vuniwai')
+    context.cookie_keys = lists.catalog.keys
+    sealer = CookieSealer()
+    sealer.set_keys(dict(lists.catalog.keys))
+    context.sealed = sealer.seal(FLOW, Cookie(service='orderdesk', generation=4))
+    assert context.sealed[0] == key_id
+
+
+@then('it is explained as valid with key {key_id:d} "{state}" and service "{service}"')
+def check_explained(context, key_id, state, service):
+    explained = explain_cookie(context.sealed, FLOW, context.cookie_keys)
+    assert explained.is_valid and explained.key_id == key_id
+    assert explained.key_state == state
+    fields = dict(explained.fields)
+    assert fields['service'] == service and fields['generation'] == '4'
+    assert set(fields) == {row.name for row in Cookie.DESCRIPTOR.fields}
+
+
+@then('for another flow it is explained as "{text}"')
+def check_explained_flow(context, text):
+    check_verdict(context, context.sealed, b'p' * 16, text)
+
+
+@then('with key id 9 it is explained as "{text}"')
+def check_explained_key(context, text):
+    check_verdict(context, b'\x09' + context.sealed[1:], FLOW, text)
+
+
+@then('cut short it is explained as "{text}"')
+def check_explained_short(context, text):
+    check_verdict(context, context.sealed[:10], FLOW, text)
+
+
+def check_verdict(context, sealed, flow, text):
+    """Check that a cookie is not valid for a stated reason."""
+    explained = explain_cookie(sealed, flow, context.cookie_keys)
+    assert not explained.is_valid
+    assert text in explained.verdict, explained
+
+
+@then(
+    'a logged message "{message}" with an error is one JSON line with the fields '
+    'time, level, module, message, instance and error'
+)
+def check_json_log(context, message):
+    sink = io.StringIO()
+    log.set_up_log(log.LogFormat.JSON, 'INFO', 'i1', sink)
+    try:
+        raise RuntimeError('first line\nsecond line')
+    except RuntimeError:
+        logger.exception('{}', message)
+    (line,) = sink.getvalue().splitlines()
+    row = json.loads(line)
+    names = {'time', 'level', 'module', 'message', 'instance', 'error'}
+    assert set(row) == names, row
+    assert (row['message'], row['instance']) == (message, 'i1')
+    assert 'second line' in row['error']
+
+
+@then('a level below the chosen one is not written')
+def check_level(context):
+    sink = io.StringIO()
+    log.set_up_log(log.LogFormat.HUMAN, 'WARNING', 'i1', sink)
+    logger.info('hidden')
+    logger.warning('shown')
+    assert 'shown' in sink.getvalue() and 'hidden' not in sink.getvalue()
+    logger.remove()
