Add the operators' pages, a first deployment and shell completion

Cause: nobody but the authors could publish lists, read a counter or rotate a key, and a first deployment needed a configuration service that did not exist.

Human log lines no longer end with an empty line.

--- /dev/null
+++ b/examples/call.py
@@ -0,0 +1,34 @@
+"""Open a flow to the first deployment and send one request."""
+
+import asyncio
+
+from cardamomtiller.client import Answer, Client, Status
+from cardamomtiller.identity import MS_PER_S, Endpoint
+
+ADDRESS = Endpoint('127.0.0.1', 7400)
+CUSTOMER = 'corner-shop'
+# Stands in examples/lists-first/customers.ini.
+SECRET = bytes.fromhex('101d6cfeacbcfa4a9b083bc6ced29283')
+
+
+ATTEMPTS = 5
+
+
+async def send(client: Client, payload: bytes) -> Answer:
+    """Send a request again while it is certain that it has not been run."""
+    answer = await client.request(payload)
+    for _ in range(ATTEMPTS - 1):
+        if answer.status is not Status.NOT_RUN:
+            break
+        await asyncio.sleep(answer.retry_after_ms / MS_PER_S)
+        answer = await client.request(payload)
+    return answer
+
+
+async def main() -> None:
+    """Send a request and print its ending."""
+    async with Client(ADDRESS, CUSTOMER, SECRET) as client:
+        print(await send(client, b'two loaves'))
+
+
+asyncio.run(main())
--- a/src/cardamomtiller/cli.py
+++ b/src/cardamomtiller/cli.py
@@ -11,7 +11,7 @@
 
 import typer
 from returns.result import Failure
-from typer.completion import get_completion_inspect_parameters
+from typer.completion import get_completion_inspect_parameters, get_completion_script
 from typer.core import TyperCommand, TyperGroup
 
 from cardamomtiller import burn, burn_page, check, log, status
@@ -20,6 +20,8 @@
 from cardamomtiller.identity import MS_PER_S, Endpoint, parse_endpoint
 from cardamomtiller.settings import load_settings
 
+PROGRAM = 'cardamomtiller'
+COMPLETION_SHELLS = ('bash', 'zsh', 'fish')
 EXIT_FAILURE = 1
 EXIT_FINDINGS = 2
 
@@ -112,7 +114,7 @@
     return parent.command(
         name,
         cls=PlainCommand,
-        epilog=f'Example: cardamomtiller {path}{name} {example}'.rstrip(),
+        epilog=f'Example: {PROGRAM} {path}{name} {example}'.rstrip(),
     )
 
 
@@ -135,7 +137,22 @@
 @_command('version', '')
 def version() -> None:
     """Print the version."""
-    typer.echo(metadata.version('cardamomtiller'))
+    typer.echo(metadata.version(PROGRAM))
+
+
+@_command('completion', 'bash')
+def completion(
+    shell: Annotated[str, typer.Argument(help='bash, zsh or fish.')],
+) -> None:
+    """Print the script that completes commands and options in a shell."""
+    if shell not in COMPLETION_SHELLS:
+        raise typer.BadParameter(f'{shell!r} is none of {", ".join(COMPLETION_SHELLS)}')
+    script = get_completion_script(
+        prog_name=PROGRAM,
+        complete_var=f'_{PROGRAM.upper()}_COMPLETE',
+        shell=shell,
+    )
+    typer.echo(script)
 
 
 @_command('run', '--settings instance.ini')
--- a/src/cardamomtiller/log.py
+++ b/src/cardamomtiller/log.py
@@ -10,9 +10,7 @@
 if TYPE_CHECKING:
     from loguru import Record
 
-HUMAN_FORMAT = (
-    '{time:YYYY-MM-DD HH:mm:ss.SSS} {level: <7} {module}: {message}{exception}\n'
-)
+HUMAN_FORMAT = '{time:YYYY-MM-DD HH:mm:ss.SSS} {level: <7} {module}: {message}'
 
 
 class LogFormat(Enum):
--- a/tests/features/commandline.feature
+++ b/tests/features/commandline.feature
@@ -13,6 +13,7 @@
       | cookie      |
       | status      |
       | flows       |
+      | completion  |
       | report burn |
 
   Scenario: Lists without findings exit with 0, lists with findings exit with 2
@@ -34,6 +35,8 @@
     Then it exits with 2 and prints "cannot be read"
 
   Scenario: Completion in bash offers commands and options
+    When the command line runs with "completion bash"
+    Then it exits with 0 and prints "_CARDAMOMTILLER_COMPLETE=complete_bash"
     When bash asks to complete "cardamomtiller rep"
     Then it exits with 0 and prints "report"
     When bash asks to complete "cardamomtiller check --"
--- a/tests/features/operators.feature
+++ b/tests/features/operators.feature
@@ -7,10 +7,11 @@
       | folder        | instances | upstreams |
       | lists-vuniwai | 9         | 11        |
       | lists-saomai  | 9         | 10        |
+      | lists-first   | 1         | 1         |
 
   Scenario: The example settings pass the check and are up to date with the schema
     Then the example settings pass the check with "lists-vuniwai"
-    And the example settings equal what the schema generates
+    And the example settings and the tables of docs/lists.md equal what the schema generates
     And the example settings with every comment sign removed hold all defaults
 
   Scenario: All findings of settings and lists are reported together, not one at a time
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -24,6 +24,8 @@
 EXAMPLES = Path(__file__).resolve().parents[3] / 'examples'
 SETTINGS = EXAMPLES / 'instance.ini'
 FLOW = FlowId(b'o' * 16)
+# Kinds of sections in the published lists.
+SECTIONS = 8
 
 
 @then(
@@ -43,9 +45,15 @@
     assert not findings, findings
 
 
-@then('the example settings equal what the schema generates')
+@then(
+    'the example settings and the tables of docs/lists.md equal '
+    'what the schema generates'
+)
 def check_example_current(context):
     assert SETTINGS.read_text() == write_example.render()
+    page = write_example.LISTS_PAGE.read_text()
+    assert page == write_example.render_lists_page()
+    assert len(write_example.MARKED_TABLE.findall(page)) == SECTIONS
 
 
 @then('the example settings with every comment sign removed hold all defaults')
@@ -380,5 +388,6 @@
     log.set_up_log(log.LogFormat.HUMAN, 'WARNING', 'i1', sink)
     logger.info('hidden')
     logger.warning('shown')
-    assert 'shown' in sink.getvalue() and 'hidden' not in sink.getvalue()
+    (line,) = sink.getvalue().splitlines()
+    assert line.endswith('shown'), line
     logger.remove()
--- /dev/null
+++ b/tools/list_counters.py
@@ -0,0 +1,66 @@
+"""List the counters, gauges and timers that the code uses.
+
+With ``--check``, print those that docs/operations.md does not name and fail.
+A name that is put together at run time is listed with ``*`` for its parts.
+"""
+
+import ast
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+SOURCES = ROOT / 'src' / 'cardamomtiller'
+PAGE = ROOT / 'docs' / 'operations.md'
+METHODS = frozenset(
+    ('add', 'set_gauge', 'time_ms', 'count', '_count', 'Failure', 'Dropped'),
+)
+
+
+def main() -> int:
+    """Print the names by module, or those that the page does not have."""
+    names = sorted(set(find_names()))
+    if '--check' not in sys.argv[1:]:
+        for module, name in names:
+            print(f'{module}: {name}')
+        return 0
+    page = PAGE.read_text()
+    missing = [(module, name) for module, name in names if f'`{name}`' not in page]
+    for module, name in missing:
+        print(f'{PAGE.relative_to(ROOT)} does not name {name} of {module}')
+    return 1 if missing else 0
+
+
+def find_names() -> Iterator[tuple[str, str]]:
+    """Iterate over pairs of module and name."""
+    for path in sorted(SOURCES.glob('*.py')):
+        if path.stem.endswith(('_pb2', '_grpc')):
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Call) and node.args and _method(node) in METHODS:
+                name = _text(node.args[0])
+                if name and '.' in name and ' ' not in name:
+                    yield path.stem, name
+
+
+def _method(call: ast.Call) -> str:
+    match call.func:
+        case ast.Attribute(attr=name) | ast.Name(id=name):
+            return name
+    return ''
+
+
+def _text(node: ast.expr) -> str:
+    match node:
+        case ast.Constant(value=str(text)):
+            return text
+        case ast.JoinedStr(values=parts):
+            texts = (
+                part.value if isinstance(part, ast.Constant) else '*' for part in parts
+            )
+            return ''.join(texts)
+    return ''
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tools/write_example.py
+++ b/tools/write_example.py
@@ -1,9 +1,12 @@
-"""Write examples/instance.ini from the schema, or check that it is current.
+"""Write what comes from the schema: example settings and tables of list keys.
 
-Every key stands with its meaning, range, unit and default. Keys that an
-instance needs and that have no default get the values of ``EXAMPLES``.
+In examples/instance.ini every key stands with its meaning, range, unit and
+default; keys that have no default get the values of ``EXAMPLES``. In
+docs/lists.md the table after each ``<!-- keys of MESSAGE -->`` is replaced. With
+``--check`` nothing is written, and files that are not current fail.
 """
 
+import re
 import sys
 import textwrap
 from collections.abc import Iterator
@@ -11,10 +14,13 @@
 
 from google.protobuf.descriptor import Descriptor, FieldDescriptor
 
+from cardamomtiller import document_pb2
 from cardamomtiller.settings_pb2 import Limits, Settings, limits
 
 ROOT = Path(__file__).resolve().parent.parent
-TARGET = ROOT / 'examples' / 'instance.ini'
+EXAMPLE = ROOT / 'examples' / 'instance.ini'
+LISTS_PAGE = ROOT / 'docs' / 'lists.md'
+MARKED_TABLE = re.compile(r'<!-- keys of (\w+) -->\n(?:\|.*\n)*')
 WIDTH = 78
 HEAD = (
     'Settings of one instance. This file is generated from the schema by '
@@ -50,22 +56,40 @@
 
 
 def main() -> int:
-    """Write the file, or with ``--check`` compare it."""
-    text = render()
-    if '--check' in sys.argv[1:]:
-        is_current = TARGET.exists() and TARGET.read_text() == text
-        print('up to date' if is_current else f'{TARGET} is out of date')
-        return 0 if is_current else 1
-    TARGET.parent.mkdir(exist_ok=True)
-    TARGET.write_text(text)
-    return 0
+    """Write the files, or with ``--check`` compare them."""
+    texts = {EXAMPLE: render(), LISTS_PAGE: render_lists_page()}
+    outdated = [path for path, text in texts.items() if read(path) != text]
+    for path in outdated:
+        print(f'{path.relative_to(ROOT)} is out of date')
+        if '--check' not in sys.argv[1:]:
+            path.write_text(texts[path])
+    return 1 if outdated and '--check' in sys.argv[1:] else 0
+
+
+def read(path: Path) -> str:
+    """Return the text of a file, empty if there is none."""
+    return path.read_text() if path.exists() else ''
 
 
 def render() -> str:
-    """Return the text of the file."""
+    """Return the text of the example settings."""
     return '\n'.join(_lines()) + '\n'
 
 
+def render_lists_page() -> str:
+    """Return the page on lists with new tables."""
+    return MARKED_TABLE.sub(_replace_table, read(LISTS_PAGE))
+
+
+def _replace_table(match: re.Match[str]) -> str:
+    message = getattr(document_pb2, match[1]).DESCRIPTOR
+    rows = ['| key | meaning | value |', '| --- | --- | --- |']
+    for field in message.fields:
+        rule = field.GetOptions().Extensions[limits]
+        rows.append(f'| `{field.name}` | {rule.help} | {describe(field, rule)} |')
+    return f'<!-- keys of {match[1]} -->\n' + '\n'.join(rows) + '\n'
+
+
 def _lines() -> Iterator[str]:
     yield from _comment(HEAD)
     for section in Settings.DESCRIPTOR.fields:
