--- a/src/cardamomtiller/log.py
+++ b/src/cardamomtiller/log.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from loguru import Record
 
+# loguru appends the line end and the exception.
 HUMAN_FORMAT = '{time:YYYY-MM-DD HH:mm:ss.SSS} {level: <7} {module}: {message}'
 
 
