--- a/src/cardamomtiller/scheduler.py
+++ b/src/cardamomtiller/scheduler.py
@@ -5,7 +5,7 @@
 import math
 from collections import OrderedDict
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from returns.result import Failure, Result, Success
 
@@ -90,7 +90,8 @@
     A request that waits for a slot.
 
     ``deadline_ms`` is a monotonic time. ``weight`` is that of the customer's
-    plan. The scheduler only carries ``payload``.
+    plan. The scheduler only carries ``payload``, which takes no part in
+    comparisons and may be mutable.
     """
 
     request: RequestKey
@@ -100,7 +101,7 @@
     deadline_ms: float
     weight: float
     is_idempotent: bool
-    payload: object = None
+    payload: object = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cardamomtiller/selection.py
+++ b/src/cardamomtiller/selection.py
@@ -18,7 +18,7 @@
 # Below this mean number of requests per slot a difference does not matter.
 SMALLEST_TYPICAL_BUSY = 0.2
 # Weight of requests in progress against open flows, both relative to the pool.
-BUSY_WEIGHT = 0.95
+BUSY_WEIGHT = 1
 # The instance's own choices fade out over the age of typical load reports.
 PICKS_FADE_MS = 1500
 OBSERVATIONS_AVERAGED = 10
@@ -31,6 +31,9 @@
 LONGEST_EJECTION_FACTOR = 16
 # An upstream that cannot be ejected (cap reached) looks this much more loaded.
 FAILURE_PENALTY = 9
+# Failures are forgotten over this time, because an upstream that gets no flows
+# makes no new observations.
+FAILURES_FADE_MS = 10_000
 UNHEALTHY_PENALTY = 3
 SMALLEST_RAMP_SHARE = 0.1
 MEDIANS_KEPT_MS = 100
@@ -92,6 +95,7 @@
         self.failure_share: float = 0
         self.latency_ms: float = 0
         self.observations = 0
+        self.observed_ms = now_ms
         self.ramp_from_ms: float = -math.inf
         self.ejected_until_ms: float = -math.inf
         self.is_ejected = False
@@ -107,7 +111,8 @@
         passed_ms = max(0, now_ms - self._picked_ms)
         return self._picks * math.exp(-passed_ms / PICKS_FADE_MS)
 
-    def observe(self, *, is_failure: bool, latency_ms: float) -> None:
+    def observe(self, latency_ms: float, now_ms: float, *, is_failure: bool) -> None:
+        self.observed_ms = now_ms
         self.observations += 1
         weight = 1 / min(self.observations, OBSERVATIONS_AVERAGED)
         self.failure_share += (is_failure - self.failure_share) * weight
@@ -148,12 +153,15 @@
         self.failure_share = 0
         self.latency_ms = 0
         self.observations = 0
+        self.observed_ms = now_ms
         self.ramp_from_ms = now_ms
 
-    def penalty(self) -> float:
+    def penalty(self, now_ms: float) -> float:
         """Return the factor by which failures make the load look larger."""
         if self.is_known():
-            return 1 + FAILURE_PENALTY * self.failure_share
+            passed_ms = max(0, now_ms - self.observed_ms)
+            kept = math.exp(-passed_ms / FAILURES_FADE_MS)
+            return 1 + FAILURE_PENALTY * self.failure_share * kept
         # Reported health counts only until this instance knows better.
         is_healthy = self.load is None or self.load.is_healthy
         return 1 if is_healthy else 1 + UNHEALTHY_PENALTY
@@ -224,7 +232,7 @@
         if item is None or outcome is Outcome.CANCELLED:
             return
         is_failure = outcome is not Outcome.DONE
-        item.observe(is_failure=is_failure, latency_ms=latency_ms)
+        item.observe(latency_ms, now_ms, is_failure=is_failure)
         self._refresh_typical(now_ms)
         if not item.is_ejected and self._is_outlier(item) and self._may_eject():
             item.eject(self._options.ejection_ms, now_ms)
@@ -267,7 +275,7 @@
             flows = self._typical_flows + item.recent_picks(now_ms) / item.slots()
         flow_score = flows / max(self._typical_flows, 1)
         busy_score = item.busy / max(self._typical_busy, SMALLEST_TYPICAL_BUSY)
-        return max(flow_score, BUSY_WEIGHT * busy_score) * item.penalty()
+        return max(flow_score, BUSY_WEIGHT * busy_score) * item.penalty(now_ms)
 
     def _first_ramped(
         self,
