Separate the decisions of the peer from its I/O and add a driven model

Cause: exchanges and fetches could only be exercised over sockets. Change: Exchanger composes, checks and answers without I/O; tools/membership_model drives it under a clock. News brings the next exchanges forward. A stopped server closes its connections, which grpclib leaves open.

--- a/src/cardamomtiller/membership.py
+++ b/src/cardamomtiller/membership.py
@@ -1,5 +1,6 @@
 """Membership: which instances are alive, decided without I/O."""
 
+import math
 import random
 import zlib
 from collections.abc import Iterable, Iterator, Mapping
@@ -20,12 +21,12 @@
 from cardamomtiller.rendezvous import score
 from cardamomtiller.settings_pb2 import MembershipSettings
 
-RUMORS_PER_MESSAGE = 64
+RUMORS_PER_MESSAGE = 256
 # A rumour is sent this often per doubling of the fleet; losses that remain are
 # repaired by the table checksum.
 SENDS_PER_DOUBLING = 2
 # Time during which a peer counts as new and is sent the whole table.
-NEW_PEER_MS = 10_000.0
+NEW_PEER_MS = 5_000.0
 # Failed probes by one observer before it may declare a death.
 FAILURES_TO_DEATH = 2
 # Others wait this many suspicion times for the verdict of an observer.
@@ -35,6 +36,8 @@
 CO_OBSERVERS_ASKED = 2
 # Part of an interval by which a probe is moved at random.
 JITTER_SHARE = 0.1
+# Part of an interval over which exchanges with news are spread.
+HURRY_SHARE = 0.2
 INCARNATION_RANDOM_BITS = 20
 # Peers may still address this process by a number that it has raised.
 INCARNATIONS_KEPT = 4
@@ -257,6 +260,8 @@
         self._due_ms: dict[InstanceId, float] = {}
         self._asked_ms: list[tuple[float, InstanceId]] = []
         self._lost_round_ms = now_ms
+        self._hurried_ms = -math.inf
+        self._has_news = False
         self._last_call_ms = now_ms
         self._late_since_ms: float | None = now_ms
         self._suspects: set[InstanceId] = set()
@@ -342,6 +347,9 @@
         once per its interval.
         """
         self._advance(now_ms)
+        if self._has_news:
+            self._has_news = False
+            self.hurry(now_ms)
         targets = set(self._due_neighbors(now_ms))
         targets.update(self._due_lost(now_ms))
         asked = [name for due_ms, name in self._asked_ms if due_ms <= now_ms]
@@ -350,6 +358,21 @@
         targets.discard(self.name)
         return tuple(sorted(targets))
 
+    def hurry(self, now_ms: float) -> None:
+        """
+        Bring the next regular exchanges forward, because there is news.
+
+        A change thus crosses the fleet in a few delays of the network and not
+        in a few probe intervals. Bounded to one per half interval.
+        """
+        if now_ms < self._hurried_ms + self.options.probe_interval_ms / 2:
+            return
+        self._hurried_ms = now_ms
+        spread_ms = HURRY_SHARE * self.options.probe_interval_ms
+        for name, due_ms in self._due_ms.items():
+            hurried_ms = now_ms + spread_ms * self._random.random()
+            self._due_ms[name] = min(due_ms, hurried_ms)
+
     def neighbors(self) -> tuple[InstanceId, ...]:
         """Return the instances that are probed regularly."""
         return tuple(self._intervals_ms())
@@ -527,6 +550,7 @@
         self._own.incarnation = incarnation
         self._own.revision = revision
         self._own.state = state
+        self._has_news = True
         self._checksum ^= self._own.checksum()
         self._note_change(self._own, now_ms)
 
@@ -563,6 +587,7 @@
             self._suspects.discard(record.row.name)
         record.is_observer = False
         record.state = state
+        self._has_news = True
         self._checksum ^= record.checksum()
         self._note_change(record, now_ms)
 
--- a/src/cardamomtiller/peer.py
+++ b/src/cardamomtiller/peer.py
@@ -15,9 +15,9 @@
 from grpclib.config import Configuration
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.protocol import H2Protocol
 from grpclib.protocol import Stream as ProtocolStream
 from grpclib.server import Server, Stream
-from loguru import logger
 from returns.result import Failure, Result, Success
 
 from cardamomtiller.counter import Counters
@@ -55,6 +55,8 @@
 TICK_MS = 50.0
 IDLE_CLIENT_MS = 30_000.0
 FETCH_TIMEOUT_MS = 3_000.0
+# Time in which the body of a request must have arrived.
+READ_TIMEOUT_MS = 2_000.0
 # The same pair of digests is not fetched again before this time.
 FETCH_AGAIN_MS = 10_000.0
 NONCE_WINDOW_BITS = 64
@@ -335,6 +337,206 @@
         return Failure(reason)
 
 
+@dataclass(slots=True)
+class FetchGuard:
+    """
+    Decide when documents are fetched from a peer whose digest differs.
+
+    One fetch runs at a time. A pair of digests that was tried is not tried again
+    for a while: the peer may be the older one, or hold what is refused here.
+    """
+
+    is_running: bool = False
+    tried_ms: dict[tuple[bytes, bytes], float] = field(default_factory=dict)
+
+    def begin(self, pair: tuple[bytes, bytes], now_ms: float) -> bool:
+        """Return whether to fetch now; ``pair`` is the peer's and the own digest."""
+        if pair[0] == pair[1] or self.is_running:
+            return False
+        self.tried_ms = {
+            tried: at_ms
+            for tried, at_ms in self.tried_ms.items()
+            if now_ms - at_ms < FETCH_AGAIN_MS
+        }
+        if pair in self.tried_ms:
+            return False
+        self.tried_ms[pair] = now_ms
+        self.is_running = True
+        return True
+
+    def end(self, pair: tuple[bytes, bytes], *, is_answered: bool) -> None:
+        """Take note of the end of a fetch; without an answer it may be repeated."""
+        self.is_running = False
+        if not is_answered:
+            self.tried_ms.pop(pair, None)
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A request that was composed, as it is sent."""
+
+    target: InstanceId
+    exchange: Exchange
+    sealed: Sealed
+    sent_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A request that was taken, and the answer as it is sent."""
+
+    request: Exchange
+    sealed: Sealed
+
+
+class Exchanger:
+    """Compose, check and answer control messages, without I/O."""
+
+    def __init__(
+        self,
+        keys: tuple[bytes, ...],
+        membership: Membership,
+        parts: ExchangeParts,
+        intake: Intake,
+        counters: Counters,
+    ) -> None:
+        """Start with nonce zero; see ``Peer`` for the parameters."""
+        self.counters = counters
+        self._membership = membership
+        self._parts = parts
+        self._intake = intake
+        self._sealer = Sealer(keys)
+        self._gate = Gate(self._sealer, membership, counters)
+        self._nonce = 0
+
+    def compose(self, target: InstanceId, now_ms: float) -> Request:
+        """Return a request to a published instance."""
+        exchange = self._parts.compose(target, now_ms)
+        exchange.nonce = self._next_nonce()
+        member = self._membership.current_view().members.get(target)
+        # The process of an instance that counts as dead may have been replaced.
+        incarnation = 0
+        if member is not None and member.state is not InstanceState.DEAD:
+            incarnation = member.incarnation
+        context = Context(MessageKind.EXCHANGE, target, incarnation)
+        sealed = self._sealer.seal(exchange, context)
+        return Request(target, exchange, sealed, now_ms)
+
+    def answer(self, sealed: Sealed, now_ms: float) -> Result[Answer, str]:
+        """Check and use a request; return the answer or the reason of refusal."""
+        opened = self._gate.open_exchange(sealed, now_ms)
+        if isinstance(opened, Failure):
+            return opened
+        request = opened.unwrap()
+        answer = self._parts.handle(request, now_ms)
+        # The context already binds the sender's name.
+        answer.ClearField('sender')
+        context = _answer_context(request, self._membership.name)
+        self.counters.add('peer.answered')
+        return Success(Answer(request, self._sealer.seal(answer, context)))
+
+    def accept(
+        self,
+        request: Request,
+        sealed: Sealed | None,
+        now_ms: float,
+    ) -> Exchange | None:
+        """
+        Check and use an answer, or take note that there is none.
+
+        Returns
+        -------
+        Exchange or None
+            The answer, or None if it is missing or does not answer the request.
+        """
+        answer = None if sealed is None else self._open_answer(request, sealed)
+        if answer is None:
+            self._membership.probe_failed(request.target, request.sent_ms, now_ms)
+            return None
+        self._parts.accept(answer, now_ms)
+        self._membership.exchange_succeeded(request.target, request.sent_ms, now_ms)
+        self.counters.add('peer.exchanged')
+        self.counters.time_ms('peer.exchange', now_ms - request.sent_ms)
+        return answer
+
+    def compose_fetch(self) -> tuple[FetchDocuments, Sealed]:
+        """Return a request for the documents that are newer than the own ones."""
+        versions = self._intake.store.versions()
+        request = FetchDocuments(
+            schema_version=SCHEMA_VERSION,
+            sender=self._membership.name,
+            nonce=self._next_nonce(),
+            held=[
+                DocumentVersion(name=name, version=version)
+                for name, version in sorted(versions.items())
+            ],
+        )
+        return request, self._sealer.seal(request, Context(MessageKind.FETCH))
+
+    def answer_fetch(self, sealed: Sealed, now_ms: float) -> Result[Sealed, str]:
+        """Return the documents that a sender lacks, or the reason of refusal."""
+        opened = self._gate.open_fetch(sealed, now_ms)
+        if isinstance(opened, Failure):
+            return opened
+        request = opened.unwrap()
+        held = {DocumentName(row.name): Version(row.version) for row in request.held}
+        documents = pack_documents(self._intake.store.newer_than(held))
+        answer = FetchedDocuments(documents=documents)
+        self.counters.add('peer.fetch_answered')
+        return Success(self._sealer.seal(answer, _fetch_context(request)))
+
+    def accept_fetch(
+        self,
+        request: FetchDocuments,
+        sealed: Sealed | None,
+        now_ms: float,
+    ) -> bool:
+        """Offer fetched documents and return whether the answer was usable."""
+        if sealed is None:
+            return False
+        if not self._sealer.is_authentic(sealed, _fetch_context(request)):
+            self.counters.add('peer.forged_answer')
+            return False
+        self.counters.add('peer.fetched')
+        self._intake.offer(unpack_documents(sealed.payload, self.counters), now_ms)
+        return True
+
+    def _open_answer(self, request: Request, sealed: Sealed) -> Exchange | None:
+        context = _answer_context(request.exchange, request.target)
+        if not self._sealer.is_authentic(sealed, context):
+            self.counters.add('peer.forged_answer')
+            return None
+        try:
+            answer = Exchange.FromString(sealed.payload)
+        except DecodeError:
+            self.counters.add('peer.malformed_answer')
+            return None
+        answer.sender = request.target
+        return answer
+
+    def _next_nonce(self) -> int:
+        self._nonce += 1
+        return self._nonce
+
+
+def _answer_context(request: Exchange, answerer: str) -> Context:
+    return Context(
+        MessageKind.EXCHANGE_ANSWER,
+        receiver=request.sender,
+        receiver_incarnation=request.incarnation,
+        answered_nonce=request.nonce,
+        sender=answerer,
+    )
+
+
+def _fetch_context(request: FetchDocuments) -> Context:
+    return Context(
+        MessageKind.FETCH_ANSWER,
+        receiver=request.sender,
+        answered_nonce=request.nonce,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class PeerOptions:
     """Address, keys and timeout of the peer."""
@@ -376,17 +578,14 @@
         """
         self._options = options
         self._membership = membership
-        self._parts = parts
         self._intake = intake
         self._clock_ms = clock_ms
         self._counters = counters
-        self._sealer = Sealer(options.keys)
-        self._gate = Gate(self._sealer, membership, counters)
-        self._server = Server([self], config=_H2_OPTIONS)
+        self._exchanger = Exchanger(options.keys, membership, parts, intake, counters)
+        self._server: _Server | None = None
         self._clients: dict[InstanceId, _Client] = {}
-        self._nonce = 0
-        self._fetch_ms: dict[tuple[bytes, bytes], float] = {}
-        self._is_fetching = False
+        self._fetches = FetchGuard()
+        self._told_digest = b''
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -399,12 +598,17 @@
             If the address is not free.
         """
         address = self._options.address
+        self._server = _Server([self], config=_H2_OPTIONS)
         await self._server.start(address.host, address.port)
 
     async def run(self) -> None:
         """Hold exchanges until the task is cancelled."""
         while True:
             now_ms = self._clock_ms()
+            digest = self._intake.store.digest()
+            if digest != self._told_digest:
+                self._told_digest = digest
+                self._membership.hurry(now_ms)
             for target in self._membership.probe_targets(now_ms):
                 client = self._client(target)
                 if client is not None:
@@ -431,48 +635,29 @@
         for client in self._clients.values():
             client.channel.close()
         self._clients.clear()
-        self._server.close()
-        await self._server.wait_closed()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+            self._server = None
 
     async def Swap(self, stream: Stream[Sealed, Sealed]) -> None:
         """Answer an exchange."""
         sealed = await _read_request(stream, LARGEST_EXCHANGE_BYTES, self._counters)
-        now_ms = self._clock_ms()
-        opened = self._gate.open_exchange(sealed, now_ms)
-        if isinstance(opened, Failure):
-            raise GRPCError(Status.PERMISSION_DENIED, opened.failure())
-        request = opened.unwrap()
-        answer = self._parts.handle(request, now_ms)
-        context = Context(
-            MessageKind.EXCHANGE_ANSWER,
-            receiver=request.sender,
-            receiver_incarnation=request.incarnation,
-            answered_nonce=request.nonce,
-            sender=self._membership.name,
-        )
-        # The context already binds the sender's name.
-        answer.ClearField('sender')
-        await stream.send_message(self._sealer.seal(answer, context))
-        self._counters.add('peer.answered')
-        self._compare(InstanceId(request.sender), request.configuration_digest)
+        answered = self._exchanger.answer(sealed, self._clock_ms())
+        if isinstance(answered, Failure):
+            raise GRPCError(Status.PERMISSION_DENIED, answered.failure())
+        answer = answered.unwrap()
+        await stream.send_message(answer.sealed)
+        sender = InstanceId(answer.request.sender)
+        self._compare(sender, answer.request.configuration_digest)
 
     async def Fetch(self, stream: Stream[Sealed, Sealed]) -> None:
         """Answer with the documents that are newer than those of the sender."""
         sealed = await _read_request(stream, LARGEST_EXCHANGE_BYTES, self._counters)
-        opened = self._gate.open_fetch(sealed, self._clock_ms())
-        if isinstance(opened, Failure):
-            raise GRPCError(Status.PERMISSION_DENIED, opened.failure())
-        request = opened.unwrap()
-        held = {DocumentName(row.name): Version(row.version) for row in request.held}
-        documents = pack_documents(self._intake.store.newer_than(held))
-        context = Context(
-            MessageKind.FETCH_ANSWER,
-            receiver=request.sender,
-            answered_nonce=request.nonce,
-        )
-        answer = FetchedDocuments(documents=documents)
-        await stream.send_message(self._sealer.seal(answer, context))
-        self._counters.add('peer.fetch_answered')
+        answered = self._exchanger.answer_fetch(sealed, self._clock_ms())
+        if isinstance(answered, Failure):
+            raise GRPCError(Status.PERMISSION_DENIED, answered.failure())
+        await stream.send_message(answered.unwrap())
 
     def _client(self, target: InstanceId) -> '_Client | None':
         member = self._membership.current_view().members.get(target)
@@ -497,90 +682,38 @@
             await self._exchange(target, client)
 
     async def _exchange(self, target: InstanceId, client: '_Client') -> bool:
-        sent_ms = self._clock_ms()
-        request, context = self._compose(target, sent_ms)
-        answered = await self._call(
+        request = self._exchanger.compose(target, self._clock_ms())
+        sealed = await self._call(
             client.stub.Swap,
-            self._sealer.seal(request, context),
+            request.sealed,
             self._options.timeout_ms,
             LARGEST_EXCHANGE_BYTES,
         )
-        now_ms = self._clock_ms()
-        if answered is None:
-            self._membership.probe_failed(target, sent_ms, now_ms)
-            return False
-        answer = self._open_answer(answered, target, request)
+        answer = self._exchanger.accept(request, sealed, self._clock_ms())
         if answer is None:
-            self._membership.probe_failed(target, sent_ms, now_ms)
+            # After a partition TCP would wait for its own retransmission, which
+            # may be many seconds away; a new connection is made at once.
+            client.reconnect()
             return False
-        self._parts.accept(answer, now_ms)
-        self._membership.exchange_succeeded(target, sent_ms, now_ms)
-        self._counters.add('peer.exchanged')
-        self._counters.time_ms('peer.exchange', now_ms - sent_ms)
         self._compare(target, answer.configuration_digest)
         return True
 
-    def _compose(self, target: InstanceId, now_ms: float) -> tuple[Exchange, Context]:
-        request = self._parts.compose(target, now_ms)
-        self._nonce += 1
-        request.nonce = self._nonce
-        member = self._membership.current_view().members[target]
-        # The process of an instance that counts as dead may have been replaced.
-        is_known = member.state is not InstanceState.DEAD
-        incarnation = member.incarnation if is_known else 0
-        return request, Context(MessageKind.EXCHANGE, target, incarnation)
-
-    def _open_answer(
-        self,
-        sealed: Sealed,
-        target: InstanceId,
-        request: Exchange,
-    ) -> Exchange | None:
-        context = Context(
-            MessageKind.EXCHANGE_ANSWER,
-            receiver=request.sender,
-            receiver_incarnation=request.incarnation,
-            answered_nonce=request.nonce,
-            sender=target,
-        )
-        if not self._sealer.is_authentic(sealed, context):
-            self._counters.add('peer.forged_answer')
-            return None
-        try:
-            answer = Exchange.FromString(sealed.payload)
-        except DecodeError:
-            self._counters.add('peer.malformed_answer')
-            return None
-        answer.sender = target
-        return answer
-
     def _compare(self, target: InstanceId, digest: bytes) -> None:
-        own = self._intake.store.digest()
-        now_ms = self._clock_ms()
-        if digest == own or self._is_fetching:
-            return
-        tried_ms = self._fetch_ms.get((digest, own))
-        if tried_ms is not None and now_ms - tried_ms < FETCH_AGAIN_MS:
+        pair = (digest, self._intake.store.digest())
+        if not self._fetches.begin(pair, self._clock_ms()):
             return
         client = self._client(target)
         if client is None:
+            self._fetches.end(pair, is_answered=False)
             return
-        self._fetch_ms = {
-            pair: at_ms
-            for pair, at_ms in self._fetch_ms.items()
-            if now_ms - at_ms < FETCH_AGAIN_MS
-        }
-        self._fetch_ms[digest, own] = now_ms
-        self._is_fetching = True
-        self._spawn(self._fetch_from(client, (digest, own)))
+        self._spawn(self._fetch_from(client, pair))
 
     async def _fetch_from(self, client: '_Client', pair: tuple[bytes, bytes]) -> None:
+        is_answered = False
         try:
             is_answered = await self._fetch(client.stub)
         finally:
-            self._is_fetching = False
-        if not is_answered:
-            self._fetch_ms.pop(pair, None)
+            self._fetches.end(pair, is_answered=is_answered)
 
     async def _ask_seed(self, address: Endpoint) -> None:
         channel = _open_channel(address)
@@ -590,37 +723,11 @@
             channel.close()
 
     async def _fetch(self, stub: PeerStub) -> bool:
-        self._nonce += 1
-        versions = self._intake.store.versions()
-        request = FetchDocuments(
-            schema_version=SCHEMA_VERSION,
-            sender=self._membership.name,
-            nonce=self._nonce,
-            held=[
-                DocumentVersion(name=name, version=version)
-                for name, version in sorted(versions.items())
-            ],
-        )
-        sealed = await self._call(
-            stub.Fetch,
-            self._sealer.seal(request, Context(MessageKind.FETCH)),
-            FETCH_TIMEOUT_MS,
-            LARGEST_FETCH_BYTES,
-        )
-        if sealed is None:
-            return False
-        context = Context(
-            MessageKind.FETCH_ANSWER,
-            receiver=request.sender,
-            answered_nonce=request.nonce,
+        request, sealed = self._exchanger.compose_fetch()
+        answered = await self._call(
+            stub.Fetch, sealed, FETCH_TIMEOUT_MS, LARGEST_FETCH_BYTES
         )
-        if not self._sealer.is_authentic(sealed, context):
-            self._counters.add('peer.forged_answer')
-            return False
-        self._counters.add('peer.fetched')
-        documents = unpack_documents(sealed.payload, self._counters)
-        self._intake.offer(documents, self._clock_ms())
-        return True
+        return self._exchanger.accept_fetch(request, answered, self._clock_ms())
 
     async def _call(
         self,
@@ -634,16 +741,16 @@
                 return await _call_bounded(method, request, limit_bytes)
         except TimeoutError:
             self._counters.add('peer.timeout')
-        except _CALL_ERRORS as error:
+        except _CALL_ERRORS:
             self._counters.add('peer.failed')
-            logger.debug('exchange failed: {!r}', error)
         return None
 
     def _drop_idle(self, now_ms: float) -> None:
+        members = self._membership.current_view().members
         idle = [
             name
             for name, client in self._clients.items()
-            if now_ms - client.used_ms > IDLE_CLIENT_MS
+            if now_ms - client.used_ms > IDLE_CLIENT_MS or name not in members
         ]
         for name in idle:
             self._drop(name)
@@ -661,6 +768,32 @@
         return task
 
 
+class _Server(Server):
+    """Server that bounds its connections and closes them when it is closed."""
+
+    def _protocol_factory(self) -> H2Protocol:
+        # grpclib leaves established connections open after ``close``, so a peer
+        # would not learn that this instance has stopped.
+        protocol = super()._protocol_factory()
+        held = getattr(self, '_protocols', ())
+        self._protocols = [row for row in held if not _is_closed(row)]
+        self._protocols.append(protocol)
+        return protocol
+
+    def close(self) -> None:
+        """Close the listening socket and all connections."""
+        super().close()
+        for protocol in getattr(self, '_protocols', ()):
+            if getattr(protocol, 'connection', None) is not None:
+                protocol.connection.close()
+
+
+def _is_closed(protocol: H2Protocol) -> bool:
+    # The connection is absent until asyncio reports that it is made.
+    connection = getattr(protocol, 'connection', None)
+    return connection is not None and connection.is_closing()
+
+
 @dataclass(slots=True)
 class _Client:
     address: Endpoint
@@ -673,6 +806,11 @@
     def __post_init__(self) -> None:
         self.stub = PeerStub(self.channel)
 
+    def reconnect(self) -> None:
+        self.channel.close()
+        self.channel = _open_channel(self.address)
+        self.stub = PeerStub(self.channel)
+
 
 def pack_documents(documents: Iterable[Document]) -> Iterator[PublishedDocument]:
     """Compress documents, at most about ``FETCH_ANSWER_BYTES`` of them."""
@@ -738,7 +876,11 @@
     counters: Counters,
 ) -> Sealed:
     try:
-        return await _read_bounded(stream._stream, limit_bytes)
+        async with asyncio.timeout(READ_TIMEOUT_MS / MS_PER_S):
+            return await _read_bounded(stream._stream, limit_bytes)
+    except TimeoutError as error:
+        counters.add('peer.slow')
+        raise GRPCError(Status.DEADLINE_EXCEEDED, 'request is not complete') from error
     except ValueError as error:
         counters.add('peer.oversized')
         raise GRPCError(Status.RESOURCE_EXHAUSTED, str(error)) from error
--- /dev/null
+++ b/tools/membership_model.py
@@ -0,0 +1,330 @@
+"""
+The decision code of many instances under a driven clock.
+
+Real membership, exchanger, snapshot and owner code; only sockets and the
+configuration service are replaced, by delayed calls that may be lost. Messages
+are serialized and sealed, so their sizes are those of the payload on the wire.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from cardamomtiller.counter import Counters
+from cardamomtiller.document import Document, InstanceRow
+from cardamomtiller.identity import (
+    DomainName,
+    Endpoint,
+    InstanceId,
+    OperatorState,
+    RegionName,
+    UpstreamId,
+)
+from cardamomtiller.membership import Membership, MembershipOptions, make_incarnation
+from cardamomtiller.peer import ControlParts, Exchanger, FetchGuard
+from cardamomtiller.peer_pb2 import Sealed
+from cardamomtiller.reader import Intake
+from cardamomtiller.snapshot import SnapshotStore
+
+KEY = b'k' * 32
+TICK_MS = 50.0
+START_MS = 1_000_000.0
+UNIX_MS = 1_790_000_000_000.0
+DEFAULTS = MembershipOptions(
+    probe_interval_ms=500,
+    probe_timeout_ms=400,
+    suspect_ms=1500,
+    probe_successors=3,
+    late_wake_ms=1000,
+)
+
+
+@dataclass
+class Network:
+    """Delay and faults between instances."""
+
+    delay_ms: tuple[float, float] = (0.5, 2.0)
+    loss: float = 0.0
+    # Instances of different sides cannot reach each other.
+    sides: dict[InstanceId, int] = field(default_factory=dict)
+
+    def is_cut(self, first: InstanceId, second: InstanceId) -> bool:
+        """Return whether a partition separates two instances."""
+        return self.sides.get(first, 0) != self.sides.get(second, 0)
+
+
+@dataclass
+class Node:
+    """One process."""
+
+    membership: Membership
+    intake: Intake
+    exchanger: Exchanger
+    guard: FetchGuard
+    counters: Counters
+    told_digest: bytes = b''
+    is_up: bool = True
+    paused_until_ms: float = 0.0
+    held_back: list[Callable[[], None]] = field(default_factory=list)
+    sent_bytes: int = 0
+    sent_messages: int = 0
+
+
+def make_rows(
+    count: int,
+    domains: int,
+    regions: int = 1,
+    first_port: int = 10_000,
+) -> tuple[InstanceRow, ...]:
+    """Return published rows spread evenly over failure domains."""
+    return tuple(
+        InstanceRow(
+            name=InstanceId(f'instance-{index:03}'),
+            domain=DomainName(f'domain-{index % domains}'),
+            region=RegionName(f'region-{index % domains % regions}'),
+            peer_address=Endpoint('127.0.0.1', first_port + index),
+            state=OperatorState.LIVE,
+        )
+        for index in range(count)
+    )
+
+
+class Model:
+    """Run instances; everything follows from the seed."""
+
+    def __init__(
+        self,
+        rows: Iterable[InstanceRow],
+        seed: int = 1,
+        options: MembershipOptions = DEFAULTS,
+        node_class: type[Membership] = Membership,
+    ) -> None:
+        """Start nothing yet."""
+        self.rows = {row.name: row for row in rows}
+        self.options = options
+        self.network = Network()
+        self.now_ms = START_MS
+        self.nodes: dict[InstanceId, Node] = {}
+        self.random = random.Random(seed)
+        self.events = 0
+        self._node_class = node_class
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    def start(self, name: InstanceId, clock_step_ms: float = 0.0) -> Node:
+        """Start or restart one process, with its wall clock stepped."""
+        counters = Counters()
+        unix_ms = UNIX_MS + self.now_ms + clock_step_ms
+        membership = self._node_class(
+            self.rows[name],
+            self.options,
+            make_incarnation(unix_ms, self.random.getrandbits(20)),
+            self.now_ms,
+            counters,
+        )
+        intake = Intake(SnapshotStore(), counters, lambda now_ms: None)
+        parts = ControlParts(membership, intake.store.digest)
+        exchanger = Exchanger((KEY,), membership, parts, intake, counters)
+        node = Node(membership, intake, exchanger, FetchGuard(), counters)
+        membership.set_published(self.rows.values(), self.now_ms)
+        membership.set_live(self.now_ms)
+        self.nodes[name] = node
+        self.after(self.random.uniform(0, TICK_MS), lambda: self._tick(name, node))
+        return node
+
+    def start_all(self) -> None:
+        """Start every published instance."""
+        for name in self.rows:
+            self.start(name)
+
+    def kill(self, name: InstanceId) -> None:
+        """End a process."""
+        self.nodes[name].is_up = False
+
+    def pause(self, name: InstanceId, pause_ms: float) -> None:
+        """Stop a process; what arrives meanwhile is handled when it resumes."""
+        node = self.nodes[name]
+        node.paused_until_ms = self.now_ms + pause_ms
+        self.after(pause_ms, lambda: self._resume(node))
+
+    def publish(self, rows: Iterable[InstanceRow], spread_ms: float = 0.0) -> None:
+        """Change the published list; each instance learns of it at another time."""
+        self.rows = {row.name: row for row in rows}
+        published = tuple(self.rows.values())
+        for node in self.nodes.values():
+            delay_ms = self.random.uniform(0, spread_ms)
+            self.after(
+                delay_ms,
+                lambda node=node: node.membership.set_published(published, self.now_ms),
+            )
+
+    def offer(self, name: InstanceId, document: Document) -> None:
+        """Hand a document to one instance, as its reader would."""
+        self.nodes[name].intake.offer((document,), self.now_ms)
+
+    def after(self, delay_ms: float, call: Callable[[], None]) -> None:
+        """Run a call later."""
+        at_ms = self.now_ms + delay_ms
+        heapq.heappush(self._events, (at_ms, next(self._order), call))
+
+    def run(self, duration_ms: float) -> None:
+        """Advance the clock."""
+        end_ms = self.now_ms + duration_ms
+        while self._events and self._events[0][0] <= end_ms:
+            at_ms, _order, call = heapq.heappop(self._events)
+            self.now_ms = max(self.now_ms, at_ms)
+            self.events += 1
+            call()
+        self.now_ms = end_ms
+
+    def run_until(
+        self,
+        condition: Callable[[], bool],
+        limit_ms: float,
+        step_ms: float = 20.0,
+    ) -> float | None:
+        """Return the time until a condition holds, or None if it never does."""
+        began_ms = self.now_ms
+        while not condition():
+            if self.now_ms - began_ms >= limit_ms:
+                return None
+            self.run(step_ms)
+        return self.now_ms - began_ms
+
+    def up(self) -> list[Node]:
+        """Return the processes that run and are not paused."""
+        return [node for node in self.nodes.values() if self._is_running(node)]
+
+    def serving(self, node: Node) -> frozenset[InstanceId]:
+        """Return whom a node takes for an owner."""
+        return frozenset(node.membership.current_view().serving_all())
+
+    def agree(self, expected: frozenset[InstanceId]) -> bool:
+        """Return whether every running process sees exactly these as owners."""
+        return all(self.serving(node) == expected for node in self.up())
+
+    def holds(self, name: str, version: int) -> bool:
+        """Return whether every running process holds a version of a document."""
+        return all(
+            node.intake.store.versions().get(name, -1) >= version for node in self.up()
+        )
+
+    def _is_running(self, node: Node) -> bool:
+        return node.is_up and self.now_ms >= node.paused_until_ms
+
+    def _resume(self, node: Node) -> None:
+        calls, node.held_back = node.held_back, []
+        for call in calls:
+            call()
+
+    def _deliver(self, node: Node, call: Callable[[], None]) -> None:
+        if not node.is_up:
+            return
+        if self.now_ms < node.paused_until_ms:
+            node.held_back.append(call)
+            return
+        call()
+
+    def _tick(self, name: InstanceId, node: Node) -> None:
+        if self.nodes.get(name) is not node or not node.is_up:
+            return
+        if self.now_ms < node.paused_until_ms:
+            node.held_back.append(lambda: self._tick(name, node))
+            return
+        digest = node.intake.store.digest()
+        if digest != node.told_digest:
+            node.told_digest = digest
+            node.membership.hurry(self.now_ms)
+        for target in node.membership.probe_targets(self.now_ms):
+            self._exchange(name, node, target)
+        self.after(TICK_MS, lambda: self._tick(name, node))
+
+    def _exchange(self, name: InstanceId, node: Node, target: InstanceId) -> None:
+        request = node.exchanger.compose(target, self.now_ms)
+        data = request.sealed.SerializeToString()
+        is_done = False
+
+        def finish(answer: bytes | None) -> None:
+            nonlocal is_done
+            if is_done:
+                return
+            is_done = True
+            sealed = None if answer is None else Sealed.FromString(answer)
+            accepted = node.exchanger.accept(request, sealed, self.now_ms)
+            if accepted is not None:
+                self._compare(name, node, target, accepted.configuration_digest)
+
+        def arrive(peer: Node) -> None:
+            answered = peer.exchanger.answer(Sealed.FromString(data), self.now_ms)
+            taken = answered.value_or(None)
+            if taken is None:
+                self._send(target, name, b'', peer, lambda _peer: finish(None))
+                return
+            reply = taken.sealed.SerializeToString()
+            self._send(target, name, reply, peer, lambda _peer: finish(reply))
+            digest = taken.request.configuration_digest
+            self._compare(target, peer, name, digest)
+
+        self._send(name, target, data, node, arrive)
+        timeout_ms = self.options.probe_timeout_ms
+        self.after(timeout_ms, lambda: self._deliver(node, lambda: finish(None)))
+
+    def _compare(
+        self,
+        name: InstanceId,
+        node: Node,
+        target: InstanceId,
+        digest: bytes,
+    ) -> None:
+        pair = (digest, node.intake.store.digest())
+        if not node.guard.begin(pair, self.now_ms):
+            return
+        request, sealed = node.exchanger.compose_fetch()
+        data = sealed.SerializeToString()
+        is_done = False
+
+        def finish(answer: Sealed | None) -> None:
+            nonlocal is_done
+            if is_done:
+                return
+            is_done = True
+            done = node.exchanger.accept_fetch(request, answer, self.now_ms)
+            node.guard.end(pair, is_answered=done)
+
+        def arrive(peer: Node) -> None:
+            answered = peer.exchanger.answer_fetch(Sealed.FromString(data), self.now_ms)
+            taken = answered.value_or(None)
+            reply = b'' if taken is None else taken.SerializeToString()
+            self._send(target, name, reply, peer, lambda _peer: finish(taken))
+
+        self._send(name, target, data, node, arrive)
+        self.after(3000, lambda: self._deliver(node, lambda: finish(None)))
+
+    def _send(
+        self,
+        source: InstanceId,
+        target: InstanceId,
+        data: bytes,
+        node: Node,
+        call: Callable[[Node], None],
+    ) -> None:
+        node.sent_bytes += len(data)
+        node.sent_messages += 1
+        if self.random.random() < self.network.loss:
+            return
+        if self.network.is_cut(source, target):
+            return
+        delay_ms = self.random.uniform(*self.network.delay_ms)
+        peer = self.nodes.get(target)
+        if peer is not None:
+            self.after(delay_ms, lambda: self._deliver(peer, lambda: call(peer)))
+
+
+def find_moved(
+    before: dict[UpstreamId, InstanceId],
+    after: dict[UpstreamId, InstanceId],
+) -> list[UpstreamId]:
+    """Return the upstreams whose owner changed."""
+    return [name for name, owner in after.items() if before.get(name) != owner]
