--- /dev/null
+++ b/tools/bench_policy.py
@@ -0,0 +1,596 @@
+"""Measure the queue and the choice of upstreams with a simulated clock.
+
+``python -m tools.bench_policy`` prints a table and writes build/policy.json.
+"""
+
+import json
+import math
+import sys
+import time
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+from itertools import product
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from cardamomtiller.identity import FlowId, Outcome, ServiceClass
+from cardamomtiller.scheduler import Scheduler
+from cardamomtiller.selection import CANDIDATES, Load
+from tools.policy_simulation import (
+    QUEUE_OPTIONS,
+    Chooser,
+    FifoQueue,
+    Job,
+    PathQualityChoice,
+    PoolCase,
+    Queue,
+    RandomChoice,
+    RoundRobin,
+    Upstream,
+    poisson_times,
+    real_choice,
+    rows,
+    run_pool,
+    scheduler_queue,
+)
+
+BUILD = Path(__file__).resolve().parent.parent / 'build'
+SEED = 20
+# Pools of both deployments: upstreams and slots of each.
+POOLS = {
+    'vuniwai orderdesk': (7, 2),
+    'vuniwai patternhouse': (4, 2),
+    'saomai counter-desk': (7, 3),
+    'saomai scan-intake': (3, 3),
+}
+SHORT_MS = 20
+LONG_MS = 1000
+URGENT_TIMEOUT_MS = 500
+NORMAL_TIMEOUT_MS = 2000
+BULK_TIMEOUT_MS = 60_000
+QUEUES: dict[str, Callable[[int], Queue]] = {
+    'cardamomtiller': scheduler_queue,
+    'fifo': FifoQueue,
+}
+
+
+def short_run_ms(random: Random) -> float:
+    """Return a running time of short work."""
+    return random.expovariate(1 / SHORT_MS)
+
+
+def make_job(
+    random: Random, time_ms: float, customer: str, urgent_share: float = 0.2
+) -> Job:
+    """Return one short request."""
+    is_urgent = random.random() < urgent_share
+    return Job(
+        arrival_ms=time_ms,
+        run_ms=short_run_ms(random),
+        customer=customer,
+        service_class=ServiceClass.URGENT if is_urgent else ServiceClass.NORMAL,
+        timeout_ms=URGENT_TIMEOUT_MS if is_urgent else NORMAL_TIMEOUT_MS,
+    )
+
+
+def quantile(values: Iterable[float], share: float) -> float:
+    """Return a quantile; 0 without values."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def ratio_max_mean(values: Iterable[float]) -> float:
+    """Return the largest value over the mean."""
+    listed = list(values)
+    mean = sum(listed) / len(listed)
+    return max(listed) / mean if mean else math.inf
+
+
+def jain(values: Iterable[float]) -> float:
+    """Return Jain's fairness index."""
+    listed = list(values)
+    squares = sum(value**2 for value in listed) * len(listed)
+    return sum(listed) ** 2 / squares if squares else 0
+
+
+def max_min(demands: dict[str, float], capacity: float) -> dict[str, float]:
+    """Return the max-min fair allocation of a capacity."""
+    left = capacity
+    shares: dict[str, float] = {}
+    waiting = sorted(demands, key=lambda name: demands[name])
+    while waiting:
+        name = waiting.pop(0)
+        shares[name] = min(demands[name], left / (len(waiting) + 1))
+        left -= shares[name]
+    return shares
+
+
+# Demand swing --------------------------------------------------------------
+
+SWING_START_MS = 10_000
+SWING_RAMP_MS = 2000
+SWING_END_MS = 30_000
+SWING_HORIZON_MS = 40_000
+SWING_BASE = 0.3
+SWING_FACTOR = 8
+CUSTOMERS = 10
+STEADY_CUSTOMERS = 4
+# Steady customers use nine tenths of a plan of one tenth of the slots.
+STEADY_SHARE = 0.09
+
+
+def swing_rate(time_ms: float, low: float, high: float) -> float:
+    """Return a rate that rises within the ramp and falls at the end."""
+    if not SWING_START_MS <= time_ms < SWING_END_MS:
+        return low
+    risen = min(1, (time_ms - SWING_START_MS) / SWING_RAMP_MS)
+    return low + (high - low) * risen
+
+
+def swing_jobs(random: Random, slots: int) -> list[Job]:
+    """Return the requests of ten customers, six of whom burst."""
+    jobs: list[Job] = []
+    steady_total = STEADY_CUSTOMERS * STEADY_SHARE
+    bursting = CUSTOMERS - STEADY_CUSTOMERS
+    per_ms = slots / SHORT_MS
+    for index in range(CUSTOMERS):
+        high = STEADY_SHARE
+        if index >= STEADY_CUSTOMERS:
+            high = (SWING_BASE * SWING_FACTOR - steady_total) / bursting
+        low = high / SWING_FACTOR
+        times = poisson_times(
+            random,
+            lambda now, low=low, high=high: swing_rate(now, low, high) * per_ms,
+            high * per_ms,
+            SWING_HORIZON_MS,
+        )
+        jobs += [make_job(random, at, f'c{index}') for at in times]
+    return jobs
+
+
+def run_swing(
+    make: Callable[[int], Queue],
+    upstreams: int,
+    slots: int,
+) -> dict[str, float]:
+    """Return the figures of the peak of the swing."""
+    done: list[Job] = []
+    for index in range(upstreams):
+        jobs = swing_jobs(Random(SEED + index), slots)
+        done += Upstream(make(slots), jobs, SWING_HORIZON_MS * 10).run()
+    begin = SWING_START_MS + SWING_RAMP_MS
+    capacity = upstreams * slots * (SWING_END_MS - begin)
+    useful = [
+        job for job in done if job.is_in_time() and begin <= job.end_ms < SWING_END_MS
+    ]
+    peak = [job for job in done if begin <= job.arrival_ms < SWING_END_MS - 2000]
+    urgent = [job for job in peak if job.service_class is ServiceClass.URGENT]
+    names = [f'c{index}' for index in range(CUSTOMERS)]
+    served = {
+        name: sum(job.run_ms for job in useful if job.customer == name)
+        for name in names
+    }
+    demand = {
+        name: sum(
+            job.run_ms
+            for job in done
+            if job.customer == name and begin <= job.arrival_ms < SWING_END_MS
+        )
+        for name in names
+    }
+    fair = max_min(demand, capacity)
+    steady = [
+        ratio_in_time([job for job in peak if job.customer == name])
+        for name in names[:STEADY_CUSTOMERS]
+    ]
+    return {
+        'goodput': sum(job.run_ms for job in useful) / capacity,
+        'urgent in deadline': ratio_in_time(urgent),
+        'worst customer in plan': min(steady),
+        'Jain index': jain(served[name] / fair[name] for name in names),
+    }
+
+
+def ratio_in_time(jobs: list[Job]) -> float:
+    """Return the share of requests that were answered in time."""
+    return sum(job.is_in_time() for job in jobs) / len(jobs) if jobs else 1
+
+
+# Head-of-line blocking -----------------------------------------------------
+
+BLOCKING_HORIZON_MS = 100_000
+# Load of short work: one at which bulk work has room beside it, and one at which
+# it is held back to its guaranteed share.
+BLOCKING_UTILISATIONS = (0.15, 0.25)
+# An arrival may find the slot that is kept for short work just taken, so the
+# residual slot time is the 99th percentile of the running time of short work.
+RESIDUAL_SLOT_MS = SHORT_MS * math.log(100)
+BULK_OUTSTANDING = 4
+
+
+def run_blocking(
+    make: Callable[[int], Queue],
+    upstreams: int,
+    slots: int,
+    utilisation: float,
+    has_bulk: bool,
+) -> dict[str, float]:
+    """Return waits of short work beside bulk work that never runs out."""
+    done: list[Job] = []
+    per_ms = utilisation * slots / SHORT_MS
+    for index in range(upstreams):
+        random = Random(SEED + index)
+        jobs = [
+            make_job(random, at, f'c{number % CUSTOMERS}')
+            for number, at in enumerate(
+                poisson_times(random, lambda _now: per_ms, per_ms, BLOCKING_HORIZON_MS)
+            )
+        ]
+        for job in jobs:
+            job.timeout_ms = BULK_TIMEOUT_MS
+
+        def follow(job: Job, now_ms: float, random: Random = random) -> Job | None:
+            if job.service_class is not ServiceClass.BULK:
+                return None
+            delay_ms = 0 if job.fate == 'done' else 500
+            return bulk_job(random, now_ms + delay_ms)
+
+        if has_bulk:
+            jobs += [bulk_job(random, 0) for _ in range(BULK_OUTSTANDING)]
+        done += Upstream(make(slots), jobs, BLOCKING_HORIZON_MS, follow).run()
+    short = [job for job in done if job.service_class is not ServiceClass.BULK]
+    urgent = [job for job in short if job.service_class is ServiceClass.URGENT]
+    started = [job for job in short if job.start_ms < math.inf]
+    bulk = [
+        job
+        for job in done
+        if job.service_class is ServiceClass.BULK and job.fate == 'done'
+    ]
+    total = upstreams * slots * BLOCKING_HORIZON_MS
+    return {
+        'urgent p99 ms': quantile(
+            (job.wait_ms() for job in urgent if job.start_ms < math.inf), 0.99
+        ),
+        'short p99 ms': quantile((job.wait_ms() for job in started), 0.99),
+        'bulk share of slots': sum(job.run_ms for job in bulk) / total,
+        'short started': len(started) / len(short),
+    }
+
+
+def bulk_job(random: Random, now_ms: float) -> Job:
+    """Return one bulk upload."""
+    return Job(
+        arrival_ms=now_ms,
+        run_ms=random.uniform(0.5, 1.5) * LONG_MS,
+        customer=f'c{random.randrange(CUSTOMERS)}',
+        service_class=ServiceClass.BULK,
+        timeout_ms=BULK_TIMEOUT_MS,
+        size_bytes=1_000_000,
+    )
+
+
+# Goodput far above capacity ------------------------------------------------
+
+OVERLOAD_FACTOR = 10
+OVERLOAD_HORIZON_MS = 20_000
+OVERLOAD_SETTLED_MS = 4000
+
+
+def run_overload(
+    make: Callable[[int], Queue],
+    upstreams: int,
+    slots: int,
+) -> dict[str, float]:
+    """Return the goodput at ten times capacity as a share of slot time."""
+    useful_ms = 0.0
+    per_ms = OVERLOAD_FACTOR * slots / SHORT_MS
+    for index in range(upstreams):
+        random = Random(SEED + index)
+        times = poisson_times(random, lambda _now: per_ms, per_ms, OVERLOAD_HORIZON_MS)
+        jobs = [
+            make_job(random, at, f'c{number % CUSTOMERS}')
+            for number, at in enumerate(times)
+        ]
+        done = Upstream(make(slots), jobs, OVERLOAD_HORIZON_MS).run()
+        useful_ms += sum(
+            job.run_ms
+            for job in done
+            if job.is_in_time() and job.end_ms >= OVERLOAD_SETTLED_MS
+        )
+    span_ms = OVERLOAD_HORIZON_MS - OVERLOAD_SETTLED_MS
+    return {'goodput': useful_ms / (upstreams * slots * span_ms)}
+
+
+# Choice of upstreams -------------------------------------------------------
+
+FLOWS_TARGET = 1.10
+BUSY_TARGET = 1.15
+POOL_CASES: dict[str, dict[str, float]] = {
+    'even': {},
+    'one 2 times slower': {'slow': 2, 'slow_factor': 2},
+    'one 3 times slower': {'slow': 2, 'slow_factor': 3},
+    'one returns cold': {'cold': 2},
+    'one behind a 3 ms path': {'far': 2},
+}
+CHOICES = ('cardamomtiller', 'random', 'round robin')
+# Compared on one pool only.
+ALTERNATIVES = ('three choices', 'all choices', 'path quality')
+ALTERNATIVES_POOL = 'vuniwai orderdesk'
+
+
+def make_choice(name: str, case: PoolCase) -> Callable[[int], Chooser]:
+    """Return a factory of choosers by the name of their policy."""
+    pool = rows(case.upstreams, case.slots)
+    if name == 'random':
+        return lambda index: RandomChoice(pool, Random(index))
+    if name == 'round robin':
+        return lambda index: RoundRobin(pool, Random(index))
+    if name == 'path quality':
+        return real_choice(case, policy=PathQualityChoice)
+    counts = {'three choices': 3, 'all choices': case.upstreams}
+    return real_choice(case, counts.get(name, CANDIDATES))
+
+
+def smallest_flows_ratio(upstreams: int, slow_factor: float) -> float:
+    """
+    Return the smallest max/mean of open flows that any choice can reach.
+
+    One upstream runs every request ``slow_factor`` times longer, and the busy
+    time is at its target. With ``share`` open flows on the slow upstream for
+    each one elsewhere, the busy time of the slow one over the mean is
+    ``n k share / (n - 1 + k share)``.
+    """
+    others = upstreams - 1
+    share = BUSY_TARGET * others / (slow_factor * (upstreams - BUSY_TARGET))
+    return max(1, upstreams / (others + min(1, share)))
+
+
+def run_choice(name: str, case: PoolCase) -> dict[str, float]:
+    """Return the imbalance after the pool has settled."""
+    result = run_pool(case, make_choice(name, case), Random(SEED))
+    late = [
+        (at, ratio_max_mean(flows))
+        for at, flows in result.samples
+        if at > case.settled_ms
+    ]
+    ratios = [ratio for _at, ratio in late]
+    uneven = [at for at, ratio in late if ratio > FLOWS_TARGET]
+    figures = {
+        'flows max/mean, mean': sum(ratios) / len(ratios),
+        'flows max/mean, worst': max(ratios),
+        'flows max/mean, end': ratios[-1],
+        'seconds above 1.10': len(uneven),
+        'busy max/mean': ratio_max_mean(result.busy),
+    }
+    if case.slow is not None:
+        floor = smallest_flows_ratio(case.upstreams, case.slow_factor)
+        figures['flows max/mean, smallest possible'] = floor
+    return figures
+
+
+# CPU -----------------------------------------------------------------------
+
+CPU_ROUNDS = 3000
+CPU_LENGTHS = (10, 1000, 10_000)
+
+
+def queue_cpu_us(length: int, customers: int = 100) -> float:
+    """Return the CPU time of one request through a queue of a length."""
+    options = replace(QUEUE_OPTIONS, longest_wait_ms=1e9)
+    queue = Scheduler(options, 2, 0)
+    random = Random(SEED)
+
+    def job(index: int, now_ms: float) -> Job:
+        made = make_job(random, now_ms, f'c{index % customers}')
+        made.timeout_ms = 1e9
+        return made
+
+    for index in range(length):
+        queue.submit(job(index, 0).as_work(), 0)
+    works = [job(index, 1).as_work() for index in range(CPU_ROUNDS)]
+    begin = time.process_time()
+    for index, work in enumerate(works):
+        now_ms = 1.0 + index
+        queue.submit(work, now_ms)
+        for _expired in queue.expire(now_ms):
+            raise AssertionError('work expired in the CPU measurement')
+        for started in list(queue.start(now_ms)):
+            queue.finish(started.request, Outcome.DONE, now_ms + 0.5)
+        queue.next_event_ms(now_ms)
+    return (time.process_time() - begin) / CPU_ROUNDS * 1e6
+
+
+def choice_cpu_us(upstreams: int) -> float:
+    """Return the CPU time of one choice in a pool of a size."""
+    case = PoolCase(upstreams, 2)
+    chooser = real_choice(case)(0)
+    load = Load(2000, 1, 1, 2, is_healthy=True)
+    for row in rows(upstreams, 2):
+        chooser.report_load(row.name, load, 0)
+    random = Random(SEED)
+    flows = [FlowId(random.randbytes(16)) for _ in range(CPU_ROUNDS)]
+    begin = time.process_time()
+    for index, flow in enumerate(flows):
+        chooser.choose(flow, frozenset(), float(index))
+    return (time.process_time() - begin) / CPU_ROUNDS * 1e6
+
+
+# Report --------------------------------------------------------------------
+
+
+def run(workers: int = 2) -> dict[str, Any]:
+    """Measure everything; the result is nested by part, pool, policy, figure."""
+    report: dict[str, Any] = {
+        'note': 'real decision code under a driven clock; callers, upstreams and '
+        'report delays are simulated',
+        'seed': SEED,
+        'swing': {},
+        'blocking': {},
+        'overload': {},
+        'choice': {},
+    }
+    measurements = tuple(list_measurements())
+    with ProcessPoolExecutor(workers) as executor:
+        results = executor.map(measure, measurements)
+        for (part, title, name, *_call), figures in zip(
+            measurements, results, strict=True
+        ):
+            report[part].setdefault(title, {})[name] = figures
+    for figures in report['blocking'].values():
+        alone = figures['cardamomtiller, without bulk']
+        figures['bound'] = {
+            name: 1.25 * alone[name] + RESIDUAL_SLOT_MS
+            for name in ('urgent p99 ms', 'short p99 ms')
+        }
+    report['cpu'] = {
+        'request through the queue, microseconds': {
+            f'{length} queued': queue_cpu_us(length) for length in CPU_LENGTHS
+        },
+        'choice, microseconds': {
+            f'{count} upstreams': choice_cpu_us(count) for count in (7, 3500)
+        },
+    }
+    report['targets'] = list(check_targets(report))
+    return report
+
+
+Measurement = tuple[str, str, str, Callable[..., dict[str, float]], tuple[Any, ...]]
+
+
+def list_measurements() -> Iterator[Measurement]:
+    """Iterate over part, title, policy, function and arguments of each run."""
+    for pool, (upstreams, slots) in POOLS.items():
+        for name, make in QUEUES.items():
+            values = (make, upstreams, slots)
+            yield 'swing', pool, name, run_swing, values
+            yield 'overload', pool, name, run_overload, values
+            for load, has_bulk in product(BLOCKING_UTILISATIONS, (False, True)):
+                title = f'{pool}, short load {load}'
+                label = f'{name}, {"with" if has_bulk else "without"} bulk'
+                yield 'blocking', title, label, run_blocking, (*values, load, has_bulk)
+        for case_name, changes in POOL_CASES.items():
+            case = PoolCase(upstreams, slots, **changes)  # type: ignore[arg-type]
+            has_more = pool == ALTERNATIVES_POOL
+            for name in CHOICES + ALTERNATIVES * has_more:
+                yield 'choice', f'{pool}, {case_name}', name, run_choice, (name, case)
+
+
+def measure(measurement: Measurement) -> dict[str, float]:
+    """Run one measurement; called in a worker process."""
+    *_labels, function, values = measurement
+    return function(*values)
+
+
+def check_targets(report: dict[str, Any]) -> Iterator[dict[str, Any]]:
+    """Iterate over the stated targets with the measured values."""
+
+    def target(name: str, measured: float, bound: float, *, is_floor: bool) -> dict:
+        is_met = measured >= bound if is_floor else measured <= bound
+        return {'name': name, 'value': measured, 'target': bound, 'met': bool(is_met)}
+
+    floors = {
+        'goodput': 0.95,
+        'urgent in deadline': 0.99,
+        'worst customer in plan': 0.95,
+        'Jain index': 0.95,
+    }
+    for pool, figures in report['swing'].items():
+        for name, bound in floors.items():
+            value = figures['cardamomtiller'][name]
+            yield target(f'swing, {pool}: {name}', value, bound, is_floor=True)
+    for pool, figures in report['overload'].items():
+        value = figures['cardamomtiller']['goodput']
+        yield target(f'overload, {pool}: goodput', value, 0.95, is_floor=True)
+    for pool, figures in report['blocking'].items():
+        ours = figures['cardamomtiller, with bulk']
+        fifo = figures['fifo, with bulk']
+        for name, bound in figures['bound'].items():
+            title = f'blocking, {pool}: {name}'
+            yield target(title, ours[name], bound, is_floor=False)
+            times = fifo[name] / max(ours[name], 1e-9)
+            yield target(f'{title}, times better', times, 10, is_floor=True)
+    for title, figures in report['choice'].items():
+        ours = figures['cardamomtiller']
+        for name, bound in (
+            ('flows max/mean, mean', FLOWS_TARGET),
+            ('busy max/mean', BUSY_TARGET),
+        ):
+            yield target(f'choice, {title}: {name}', ours[name], bound, is_floor=False)
+
+
+def print_report(report: dict[str, Any]) -> None:
+    """Print one table for each part and the targets that are missed."""
+    print(f'Policy figures ({report["note"]}; seed {report["seed"]})')
+    for part in ('swing', 'blocking', 'overload', 'choice', 'cpu'):
+        for title, figures in report[part].items():
+            print(f'\n{part}: {title}')
+            for name, values in figures.items():
+                shown = values if isinstance(values, dict) else {'': values}
+                texts = (f'{key} {value:.3f}'.strip() for key, value in shown.items())
+                print(f'  {name:30} ' + '  '.join(texts))
+    missed = [row for row in report['targets'] if not row['met']]
+    print(f'\n{len(report["targets"]) - len(missed)} targets met')
+    for row in missed:
+        print(f'MISSED {row["name"]}: {row["value"]:.3f}, target {row["target"]:.3f}')
+
+
+def plot(report: dict[str, Any], path: Path) -> None:
+    """Draw waits, goodput and imbalance beside the baselines."""
+    import matplotlib
+
+    matplotlib.use('Agg')
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(1, 3, figsize=(17, 5), layout='constrained')
+    pools = list(POOLS)
+    positions = range(len(pools))
+    for offset, name in enumerate(QUEUES):
+        places = [position + 0.35 * offset for position in positions]
+        waits = [
+            report['blocking'][f'{pool}, short load {BLOCKING_UTILISATIONS[-1]}'][
+                f'{name}, with bulk'
+            ]['short p99 ms']
+            for pool in pools
+        ]
+        axes[0].bar(places, waits, 0.35, label=name)
+        goodput = [report['swing'][pool][name]['goodput'] for pool in pools]
+        axes[1].bar(places, goodput, 0.35, label=name)
+    axes[0].set_yscale('log')
+    axes[0].set_title('p99 wait of short work beside bulk work (ms)')
+    axes[1].axhline(0.95, linestyle='--', color='grey')
+    axes[1].set_title('goodput at the peak of an 8-fold swing')
+    cases = list(POOL_CASES)
+    for offset, name in enumerate(CHOICES):
+        values = [
+            report['choice'][f'{pools[0]}, {case}'][name]['flows max/mean, mean']
+            for case in cases
+        ]
+        places = [position + 0.16 * offset for position in range(len(cases))]
+        axes[2].bar(places, values, 0.16, label=name)
+    axes[2].axhline(FLOWS_TARGET, linestyle='--', color='grey')
+    axes[2].set_ylim(1, None)
+    axes[2].set_title(f'open flows max/mean, {pools[0]}')
+    for axis, names in zip(axes, (pools, pools, cases), strict=True):
+        axis.set_xticks([position + 0.2 for position in range(len(names))])
+        axis.set_xticklabels(names, rotation=15, fontsize=8)
+        axis.legend(fontsize=8)
+    figure.suptitle('Real decision code under a driven clock')
+    figure.savefig(path, dpi=110)
+
+
+def main() -> None:
+    """Measure, print and write the results."""
+    report = run()
+    print_report(report)
+    BUILD.mkdir(exist_ok=True)
+    (BUILD / 'policy.json').write_text(json.dumps(report, indent=1))
+    if '--plot' in sys.argv[1:]:
+        plot(report, BUILD / 'policy.png')
+
+
+if __name__ == '__main__':
+    main()
