--- a/tests/features/live.feature
+++ b/tests/features/live.feature
@@ -45,6 +45,7 @@
     Then every invariant holds
 
   Scenario: A silent path between the callers and one instance breaks no flow
+    Given the live deployment runs for 14 s
     When a live deployment runs through these events
       | at_s | action                                                 |
       | 1    | rule fabric to source=caller target=a/a-i1 cut=1       |
--- a/tests/features/steps/live_steps.py
+++ b/tests/features/steps/live_steps.py
@@ -16,6 +16,7 @@
 # Figures that count violated invariants or faults of the experiment itself.
 ZERO = (
     'flows_broken',
+    'flows_stuck',
     'misrouted',
     'run_twice',
     'false_not_run',
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -546,6 +546,14 @@
         except (OSError, ValueError, TimeoutError):
             return None
 
+    async def stream_bytes(self) -> dict[str, int]:
+        """Return the bytes of streams by source and target, if proxied."""
+        if not self._is_proxied():
+            return {}
+        answer = await call_admin(self.faults_admin, 'GET', '/stats')
+        pairs = answer['stream_bytes'] if isinstance(answer, dict) else {}
+        return {str(pair): int(size) for pair, size in pairs.items()}
+
     async def upstream_stats(self) -> dict[str, dict[str, object]]:
         """Return the counters of every upstream that answers."""
         found: dict[str, dict[str, object]] = {}
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -20,6 +20,7 @@
 from tools.plan import Event, ScenarioPlan, load_plan
 from tools.processes import Processes
 from tools.standins.callers import (
+    PROBE,
     Break,
     Group,
     Record,
@@ -30,7 +31,7 @@
 SAMPLE_INTERVAL_S = 0.5
 IN_FORCE_POLL_S = 0.05
 IN_FORCE_TIMEOUT_S = 20
-CALLERS_END_S = 20
+CALLERS_END_S = 30
 # With fewer flows per upstream, one flow more is an imbalance.
 LEAST_MEAN_FLOWS = 10
 SHARES = {'p50_ms': 0.5, 'p90_ms': 0.9, 'p99_ms': 0.99}
@@ -66,6 +67,7 @@
         self.events: list[str] = []
         self.marks: dict[str, float] = {}
         self.began_s = 0.0
+        self.control_bytes_per_s = 0.0
         self.background: list[asyncio.Task[None]] = []
 
     async def run(self) -> Outcome:
@@ -77,6 +79,7 @@
             sampler = asyncio.create_task(self._sample())
             await asyncio.sleep(self.plan.warm_up_s)
             self.began_s = time.monotonic()
+            before = await self._control_bytes()
             await self._perform_events()
             rest_s = self.began_s + self.plan.duration_s - time.monotonic()
             await asyncio.sleep(max(0, rest_s))
@@ -84,6 +87,7 @@
                 await task
             await self._end_callers(callers)
             sampler.cancel()
+            self._note_control_bytes(before, await self._control_bytes())
             return await self._collect()
         finally:
             self.processes.end_all()
@@ -116,6 +120,23 @@
             self.loads.append((time.monotonic(), stats))
             await asyncio.sleep(SAMPLE_INTERVAL_S)
 
+    async def _control_bytes(self) -> float:
+        """Return the bytes so far on streams between instances, if proxied."""
+        pairs = await self.deployment.stream_bytes()
+        upstreams = {row.name for row in self.deployment.upstreams.values()}
+        total = 0
+        for pair, size in pairs.items():
+            names = {label.rpartition('/')[2] for label in pair.split()}
+            if not names & upstreams:
+                total += size
+        return total
+
+    def _note_control_bytes(self, before: float, after: float) -> None:
+        passed_s = time.monotonic() - self.began_s
+        count = len(self.deployment.instances)
+        # Each byte is sent by one instance and received by another.
+        self.control_bytes_per_s = 2 * (after - before) / passed_s / max(count, 1)
+
     # Events
 
     async def _perform_events(self) -> None:
@@ -302,6 +323,7 @@
             'flows_opened': counts['flows_opened'],
             'flows_resumed': counts['resumed'],
             'flows_broken': len(breaks) - len(excused),
+            'flows_stuck': counts['flows_stuck'],
             'flows_lost_with_upstream': len(excused),
             'opens_refused': counts['open_refused'],
             'open_p99_ms': percentile(self.record.open_ms, 0.99),
@@ -332,7 +354,7 @@
         path = self.deployment.execution_log
         for line in path.read_text().splitlines() if path.exists() else ():
             row = json.loads(line)
-            if row['event'] == 'start':
+            if row['event'] == 'start' and row['token'] != PROBE:
                 runs[row['token']] += 1
         twice = [
             token
--- a/tools/standins/callers.py
+++ b/tools/standins/callers.py
@@ -18,6 +18,10 @@
 OUTSTANDING_PER_FLOW = 64
 REFUSED_PAUSE_S = 0.2
 LONG_S = 1e6
+# A flow whose resumption fails is given up by its client after 11 s.
+PROBE_S = 12
+PROBE_TIMEOUT_MS = 2000
+PROBE = 'probe'
 CLOSE_TIMEOUT_S = 5
 # A change of demand takes effect within this time.
 DEMAND_STEP_S = 0.2
@@ -147,8 +151,25 @@
                 tasks.append(asyncio.create_task(self._read_pushes(client)))
             life_s = self.plan.flow_life_s * self._random.uniform(0.5, 1.5)
             await self.group.wait_stopped(life_s or LONG_S)
+            if self.group.stopped.is_set():
+                await self._probe(client)
             await self._end(client, tasks)
 
+    async def _probe(self, client: Client) -> None:
+        """Check that a flow still works at the end; a silent one is stuck."""
+        end_s = time.monotonic() + PROBE_S
+        while time.monotonic() < end_s:
+            header = {'token': PROBE, 'service': self.plan.service}
+            answer = await client.request(
+                json.dumps(header).encode() + b'\n',
+                is_idempotent=True,
+                timeout_ms=PROBE_TIMEOUT_MS,
+            )
+            is_refused = answer.reason in {'over allowance', 'queue full', 'shed'}
+            if answer.status is Status.DONE or is_refused:
+                return
+        self.record.fault('flows_stuck', f'{self.name} on {client.upstream}')
+
     async def _end(self, client: Client, tasks: list[asyncio.Task[None]]) -> None:
         for task in tasks:
             task.cancel()
