--- a/tests/features/steps/standins_steps.py
+++ b/tests/features/steps/standins_steps.py
@@ -474,7 +474,9 @@
     async def run():
         server = await asyncio.start_server(echo_stream, LOOPBACK, port)
         _, writer = await asyncio.open_connection(LOOPBACK, port)
-        label = network.label_stream(writer.get_extra_info('sockname'))
+        label = network.label_stream(
+            writer.get_extra_info('peername'), writer.get_extra_info('sockname')
+        )
         writer.close()
         server.close()
         return label
--- a/tools/standins/fabric.py
+++ b/tools/standins/fabric.py
@@ -38,7 +38,7 @@
         self.labels: dict[Address, str] = {}
         self.proxies: dict[str, DatagramProxy] = {}
 
-    def label_caller(self, _address: Address) -> str:
+    def label_caller(self, *_addresses: Address) -> str:
         """Return the label of every caller."""
         return CALLER
 
--- a/tools/standins/faults.py
+++ b/tools/standins/faults.py
@@ -11,7 +11,9 @@
 import contextlib
 import json
 import os
-from pathlib import Path
+import socket
+import struct
+from collections.abc import Iterator
 
 from cardamomtiller.identity import parse_endpoint
 from tools.standins.admin import AdminAnswer, AdminRequest, serve_admin
@@ -19,6 +21,16 @@
 
 SWEEP_S = 10
 UNKNOWN = 'unknown'
+# Constants of linux/netlink.h, linux/sock_diag.h and linux/inet_diag.h.
+NETLINK_SOCK_DIAG = 4
+SOCK_DIAG_BY_FAMILY = 20
+NLM_F_REQUEST = 1
+NETLINK_HEADER_BYTES = 16
+NO_COOKIE = 0xFFFFFFFF
+ALL_STATES = 0xFFFFFFFF
+# Netlink header, four bytes of state, 48 of the identity and four numbers.
+INODE_OFFSET = NETLINK_HEADER_BYTES + 4 + 48 + 16
+DIAG_ANSWER_BYTES = 4096
 
 
 class FaultyNetwork:
@@ -29,21 +41,22 @@
         self.rules = Rules(seed)
         self.addresses: dict[Address, str] = {}
         self.processes: dict[int, str] = {}
+        self.inodes: dict[int, str] = {}
         self.streams: list[StreamProxy] = []
         self.datagrams: list[DatagramProxy] = []
 
     def label_address(self, address: Address) -> str:
         """Return the label of a datagram's sender or target."""
-        return self.addresses.get(tuple(address), UNKNOWN)
+        return self.addresses.get((address[0], address[1]), UNKNOWN)
 
-    def label_stream(self, address: Address) -> str:
-        """Return the label of the process behind a local TCP port."""
-        inode = find_inode(address[1])
-        if inode:
+    def label_stream(self, near: Address, far: Address) -> str:
+        """Return the label of the process that connected from ``far``."""
+        inode = find_inode(far, near)
+        if inode and inode not in self.inodes:
+            # One look at the processes finds every connection made since.
             for pid, label in self.processes.items():
-                if owns_socket(pid, inode):
-                    return label
-        return UNKNOWN
+                self.inodes.update(dict.fromkeys(socket_inodes(pid), label))
+        return self.inodes.get(inode, UNKNOWN)
 
     async def add_proxy(
         self, label: str, listen: Address, target: Address, kinds: list[str]
@@ -100,24 +113,39 @@
                 proxy.sweep()
 
 
-def find_inode(port: int) -> str:
-    """Return the inode of the loopback socket with a local TCP port."""
-    wanted = f':{port:04X}'
-    for line in Path('/proc/net/tcp').read_text().splitlines()[1:]:
-        words = line.split()
-        if words[1].endswith(wanted) and words[9] != '0':
-            return words[9]
-    return ''
+def find_inode(local: Address, remote: Address) -> int:
+    """
+    Return the inode of the loopback TCP socket between two addresses, or 0.
 
-
-def owns_socket(pid: int, inode: str) -> bool:
-    """Return whether a process holds a socket."""
+    The kernel is asked with a sock_diag request, since reading the whole table
+    in /proc/net/tcp takes 20 ms.
+    """
+    ports = struct.pack('!HH', local[1], remote[1])
+    addresses = b''.join(
+        socket.inet_aton(row[0]) + bytes(12) for row in (local, remote)
+    )
+    identity = ports + addresses + struct.pack('=III', 0, NO_COOKIE, NO_COOKIE)
+    request = struct.pack(
+        '=BBBBI', socket.AF_INET, socket.IPPROTO_TCP, 0, 0, ALL_STATES
+    )
+    length = NETLINK_HEADER_BYTES + len(request) + len(identity)
+    header = struct.pack('=IHHII', length, SOCK_DIAG_BY_FAMILY, NLM_F_REQUEST, 1, 0)
+    with socket.socket(socket.AF_NETLINK, socket.SOCK_RAW, NETLINK_SOCK_DIAG) as diag:
+        diag.send(header + request + identity)
+        answer = diag.recv(DIAG_ANSWER_BYTES)
+    if struct.unpack_from('=H', answer, 4)[0] != SOCK_DIAG_BY_FAMILY:
+        return 0
+    return int(struct.unpack_from('=I', answer, INODE_OFFSET)[0])
+
+
+def socket_inodes(pid: int) -> Iterator[int]:
+    """Iterate over the inodes of a process's sockets."""
     with contextlib.suppress(OSError):
         for entry in os.scandir(f'/proc/{pid}/fd'):
             with contextlib.suppress(OSError):
-                if os.readlink(entry.path) == f'socket:[{inode}]':
-                    return True
-    return False
+                target = os.readlink(entry.path)
+                if target.startswith('socket:['):
+                    yield int(target[len('socket:[') : -1])
 
 
 async def serve(options: argparse.Namespace) -> None:
--- a/tools/standins/proxy.py
+++ b/tools/standins/proxy.py
@@ -266,7 +266,7 @@
         self,
         rules: Rules,
         targets: Callable[[], list[Address]],
-        label_source: Label,
+        label_source: Callable[[Address, Address], str],
         label_target: Label,
     ) -> None:
         """Nothing is bound before ``listen``."""
@@ -283,7 +283,9 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        source = self.label_source(writer.get_extra_info('peername'))
+        source = self.label_source(
+            writer.get_extra_info('sockname'), writer.get_extra_info('peername')
+        )
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             await self._connect(source, reader, writer)
         writer.close()
