Keep the examples' scenario files in a folder of their own

Cause: the test that reads every scenario file also read a settings file, and the stand-in's clock needed a running event loop when tests construct it. Change: examples/scenarios; the simulation replaces the stand-in's clock.

--- a/tests/features/steps/standins_steps.py
+++ b/tests/features/steps/standins_steps.py
@@ -484,7 +484,7 @@
 
 @then('the scenario files of the examples are read')
 def read_examples(context):
-    paths = sorted((ROOT / 'examples').glob('*.ini'))
+    paths = sorted((ROOT / 'examples' / 'scenarios').glob('*.ini'))
     assert paths
     for path in paths:
         plan = load_plan(path)
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -52,6 +52,7 @@
 from cardamomtiller.routing import RoutingView
 from cardamomtiller.settings import parse_settings
 from cardamomtiller.wire_pb2 import UpstreamFrame
+from tools.standins import upstream as upstream_module
 from tools.standins.upstream import Behaviour, Link, Upstream
 
 SERVICES = (ServiceName('orders'), ServiceName('patterns'))
@@ -746,6 +747,8 @@
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
     random.seed(seed)
+    monotonic = upstream_module.now_ms
+    upstream_module.now_ms = lambda: loop.time() * 1000
     fleet = Fleet(loop, seed)
     try:
         loop.run_until_complete(fleet.run(seconds, callers, events))
@@ -755,6 +758,7 @@
         loop.run_until_complete(asyncio.sleep(0))
         loop.close()
         asyncio.set_event_loop(None)
+        upstream_module.now_ms = monotonic
     return fleet.report
 
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -14,7 +14,7 @@
 from tools.processes import ROOT
 from tools.scenario import Outcome, run_plan
 
-SCENARIO = ROOT / 'examples' / 'demo.ini'
+SCENARIO = ROOT / 'examples' / 'scenarios' / 'demo.ini'
 ROWS = {
     'flows opened': 'flows_opened',
     'flows broken': 'flows_broken',
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -1,6 +1,6 @@
 """Run a scenario with real processes and print what the callers saw.
 
-python -m tools.scenario examples/demo.ini [--json FILE] [--set KEY=VALUE]
+python -m tools.scenario examples/scenarios/demo.ini [--json FILE] [--set KEY=VALUE]
 """
 
 import argparse
--- a/tools/standins/upstream.py
+++ b/tools/standins/upstream.py
@@ -7,6 +7,7 @@
 import os
 import random
 import secrets
+import time
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -569,8 +570,8 @@
 
 
 def now_ms() -> float:
-    """Return the time of the event loop in milliseconds."""
-    return asyncio.get_running_loop().time() * 1000
+    """Return monotonic milliseconds."""
+    return time.monotonic() * 1000
 
 
 async def serve(options: argparse.Namespace) -> None:
