Use the full stand-in of the platform

Change: the deployment starts tools/standins/platform.py with the documents in a folder; the minimal one is removed; call_admin reads answers by their length. Conclusion: one scenario of standins.feature still expects the older grant rule.

--- a/tests/features/steps/standins_steps.py
+++ b/tests/features/steps/standins_steps.py
@@ -101,10 +101,10 @@
 
 @given('a stand-in upstream with {slots:d} slots')
 def start_upstream(context, slots):
-    context.standin = Upstream('u', 'desk', Behaviour(slots=slots))
     context.standin_port = Ports().take()
 
     async def start():
+        context.standin = Upstream('u', 'desk', Behaviour(slots=slots))
         serve = context.standin.serve_link
         await asyncio.start_server(serve, LOOPBACK, context.standin_port)
         context.standin_timers = asyncio.create_task(context.standin.run_timers())
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -17,7 +17,7 @@
 UPSTREAM_MODULE = 'tools.standins.upstream'
 FABRIC_MODULE = 'tools.standins.fabric'
 FAULTS_MODULE = 'tools.standins.faults'
-PLATFORM_MODULE = 'tools.standins.platform_minimal'
+PLATFORM_MODULE = 'tools.standins.platform'
 INSTANCE_MODULE = 'cardamomtiller'
 PROXIED = 'proxied'
 READY_TIMEOUT_S = 15
@@ -269,8 +269,6 @@
         for upstream in self.upstreams.values():
             self.start_upstream(upstream)
         await self._wait_for_standins()
-        for name, text in self.documents():
-            await self.publish(name, text)
         if self._is_proxied():
             await self._configure_proxies()
         for instance in self.instances.values():
@@ -280,11 +278,16 @@
         await self.update_fabric()
 
     def _start_platform(self) -> None:
+        lists = self.folder / 'lists'
+        lists.mkdir()
+        for name, text in self.documents():
+            (lists / f'{name}.ini').write_text(text)
         self.processes.start(
             'platform',
             PLATFORM_MODULE,
             f'--listen={self.platform}',
             f'--admin={self.platform_admin}',
+            f'--directory={lists}',
         )
 
     def _start_fabric(self) -> None:
@@ -400,13 +403,14 @@
 
     async def publish(self, name: str, text: str) -> int:
         """Publish the next version of a document; return the version."""
-        path = f'/publish?name={name}'
-        answer = await call_admin(self.platform_admin, 'POST', path, text.encode())
+        body = json.dumps({'name': name, 'text': text}).encode()
+        answer = await call_admin(self.platform_admin, 'POST', '/publish', body)
         return int(answer['version']) if isinstance(answer, dict) else 0
 
     async def set_platform(self, *, is_down: bool) -> None:
         """Begin or end an outage of the configuration service."""
-        await call_admin(self.platform_admin, 'POST', f'/set?is_down={int(is_down)}')
+        body = json.dumps({'absent': is_down}).encode()
+        await call_admin(self.platform_admin, 'POST', '/faults', body)
 
     async def publish_domain(self, name: str) -> None:
         """Publish the instances and upstreams of a failure domain again."""
@@ -543,7 +547,7 @@
         """Return a status page of an instance, or None if it has none."""
         try:
             return await call_admin(self.instances[name].status, 'GET', path)
-        except (OSError, ValueError, TimeoutError):
+        except (OSError, EOFError, ValueError, TimeoutError):
             return None
 
     async def stream_bytes(self) -> dict[str, int]:
@@ -560,7 +564,7 @@
         for name, upstream in self.upstreams.items():
             try:
                 answer = await call_admin(upstream.admin, 'GET', '/stats')
-            except (OSError, TimeoutError):
+            except (OSError, EOFError, TimeoutError):
                 continue
             if isinstance(answer, dict):
                 found[name] = answer
--- a/tools/measures.py
+++ b/tools/measures.py
@@ -47,7 +47,7 @@
 
 def measure(name: str, changes: dict[str, str]) -> Figures:
     """Run one deployment and return its figures."""
-    plan = load_plan(ROOT / 'examples' / f'{name}.ini', changes)
+    plan = load_plan(ROOT / 'examples' / 'scenarios' / f'{name}.ini', changes)
     begin_s = time.monotonic()
     with tempfile.TemporaryDirectory(prefix='cardamomtiller-') as folder:
         scenario = Scenario(plan, Path(folder))
--- a/tools/standins/admin.py
+++ b/tools/standins/admin.py
@@ -124,7 +124,7 @@
 
     Raises
     ------
-    OSError, TimeoutError
+    OSError, EOFError, TimeoutError
         If there is no answer.
     ValueError
         If the answer is an error or is not JSON.
@@ -135,13 +135,21 @@
             head = f'{method} {path} HTTP/1.1\r\nHost: {address}\r\n'
             head += f'Content-Length: {len(body)}\r\n\r\n'
             writer.write(head.encode() + body)
-            answer = await reader.read()
+            status, content = await _read_answer(reader)
         finally:
             writer.close()
-    first, _, rest = answer.partition(b'\r\n\r\n')
-    words = first.split(maxsplit=2)
+    if status != '200':
+        raise ValueError(f'{method} {address}{path}: {content.decode()}')
+    return json.loads(content)
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> tuple[str, bytes]:
+    words = (await reader.readline()).decode('latin-1').split()
     if len(words) < 2:
-        raise ConnectionError(f'{address} gave no answer')
-    if words[1] != b'200':
-        raise ValueError(f'{method} {address}{path}: {answer.decode()}')
-    return json.loads(rest)
+        raise ConnectionError('no answer')
+    length = 0
+    while header := (await reader.readline()).strip():
+        name, _, value = header.decode('latin-1').partition(':')
+        if name.lower() == 'content-length':
+            length = int(value)
+    return words[1], await reader.readexactly(length)
