Make simulated runs repeat exactly

Cause: flow ids and the order of a set differed between two runs of one seed. Change: flow ids come from the seed; links keep the order of their arrival. Conclusion: a failing seed can be traced.

--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -15,6 +15,7 @@
 
 from returns.result import Result, Success
 
+from cardamomtiller import client as client_module
 from cardamomtiller.admission import Permit, PermitKind, Refusal
 from cardamomtiller.assignment import owners
 from cardamomtiller.catalog import Catalog, build_catalog
@@ -266,7 +267,7 @@
         self._far.is_open = False
         upstream = self._fleet.upstream_at(self._address)
         if upstream is not None:
-            upstream.links.discard(self._far)
+            upstream.links.pop(self._far, None)
         self._far = None
         was_up, self._is_up = self._is_up, False
         if was_up and is_told:
@@ -748,6 +749,8 @@
     asyncio.set_event_loop(loop)
     random.seed(seed)
     monotonic = upstream_module.now_ms
+    urandom = client_module.os.urandom
+    client_module.os.urandom = random.Random(seed).randbytes
     upstream_module.now_ms = lambda: loop.time() * 1000
     fleet = Fleet(loop, seed)
     try:
@@ -759,6 +762,7 @@
         loop.close()
         asyncio.set_event_loop(None)
         upstream_module.now_ms = monotonic
+        client_module.os.urandom = urandom
     return fleet.report
 
 
--- a/tools/standins/upstream.py
+++ b/tools/standins/upstream.py
@@ -130,7 +130,7 @@
         self.behaviour = behaviour
         self.incarnation = secrets.randbits(64)
         self.flows: dict[bytes, Flow] = {}
-        self.links: set[Link] = set()
+        self.links: dict[Link, None] = {}
         self.counts: Counter[str] = Counter()
         self.executions: list[Execution] = []
         self.store: dict[str, str] = {}
@@ -155,12 +155,12 @@
             self.counts['links_broken'] += 1
         finally:
             link.is_open = False
-            self.links.discard(link)
+            self.links.pop(link, None)
             writer.close()
 
     def accept(self, link: Link) -> None:
         """Send the first frames of a connection."""
-        self.links.add(link)
+        self.links[link] = None
         self.counts['links_accepted'] += 1
         hello = Hello(
             upstream=self.name,
