--- a/tests/features/standins.feature
+++ b/tests/features/standins.feature
@@ -2,8 +2,9 @@
 
   Scenario: A flow is only granted to a higher generation, so a late home is fenced
     Given a stand-in upstream with 2 slots
-    When its link opens a flow under generations 2, 2, 1 and 3
-    Then the stand-in grants, refuses, refuses and grants the flow
+    When its link opens a flow under generations 1, 1, 3 and 2
+    Then the stand-in grants, refuses, grants and refuses the flow
+    And an unknown flow under generation 2 is refused as unknown
     And a request under generation 2 is shed as stale and never run
     And a request of an unknown flow is shed and never run
 
--- a/tests/features/steps/standins_steps.py
+++ b/tests/features/steps/standins_steps.py
@@ -113,10 +113,10 @@
     context.link = complete(context, start())
 
 
-@when('its link opens a flow under generations 2, 2, 1 and 3')
+@when('its link opens a flow under generations 1, 1, 3 and 2')
 def open_generations(context):
     async def run():
-        for generation in (2, 2, 1, 3):
+        for generation in (1, 1, 3, 2):
             context.link.open_flow(generation)
             yield (await context.link.expect('flow_opened')).flow_opened
 
@@ -126,11 +126,18 @@
     context.opened = complete(context, collect())
 
 
-@then('the stand-in grants, refuses, refuses and grants the flow')
+@then('the stand-in grants, refuses, grants and refuses the flow')
 def check_grants(context):
     stale = REASON_STALE_GENERATION
-    assert [row.refusal for row in context.opened] == [0, stale, stale, 0]
-    assert context.opened[1].held_generation == 2
+    assert [row.refusal for row in context.opened] == [0, stale, 0, stale]
+    assert context.opened[3].held_generation == 3
+
+
+@then('an unknown flow under generation 2 is refused as unknown')
+def check_unknown_open(context):
+    context.link.open_flow(2, b'g' * 16)
+    opened = complete(context, context.link.expect('flow_opened')).flow_opened
+    assert opened.refusal == REASON_UNKNOWN_FLOW
 
 
 @then('a request under generation 2 is shed as stale and never run')
