--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -154,7 +154,7 @@
         self.marks.setdefault(event.action, time.monotonic())
         try:
             await self._actions()[event.action](*event.words)
-        except (LookupError, OSError, ValueError, TimeoutError) as error:
+        except (LookupError, OSError, EOFError, ValueError, TimeoutError) as error:
             self.record.fault('event_errors', f'{text}: {error!r}')
 
     def _actions(self) -> Mapping[str, Callable[..., Awaitable[object]]]:
@@ -200,7 +200,12 @@
 
     async def _replace_all(self) -> None:
         for name in tuple(self.deployment.instances):
-            await self._replace(name)
+            if name in self.processes.running:
+                await self._replace(name)
+            else:
+                domain = self.deployment.instances[name].domain.name
+                await self.deployment.remove_instance(name)
+                await self.deployment.join_instance(domain)
 
     async def _drain(self, name: str) -> None:
         await self.deployment.drain_upstream(name)
