Count the silence of an upstream from an unanswered ping

Cause: the home reset flows as LINK_LOST when their keepalives had been lost on the way to it, or when it had been paused itself; and the caller library noticed a deadline up to a second late. Change: silence counts from the oldest unanswered ping and from the end of a pause; the caller's wait ends at the deadline.

--- a/src/cardamomtiller/client.py
+++ b/src/cardamomtiller/client.py
@@ -49,6 +49,7 @@
 LONGEST_RESEND_MS = 1000
 # The home answers at the deadline; its answer needs time to arrive.
 DEADLINE_GRACE_MS = 300
+SHORTEST_WAIT_MS = 1
 COOKIES_KEPT = 8
 LARGEST_ANSWER_CHUNKS = 4096
 PUSHES_HELD = 1000
@@ -416,7 +417,9 @@
             if now_ms < outstanding.deadline_ms:
                 self._send_chunks(outstanding, now_ms)
             outstanding.wake.clear()
-            await _wait_event(outstanding.wake, outstanding.resend_ms)
+            rest_ms = outstanding.deadline_ms + DEADLINE_GRACE_MS - now_ms
+            wait_ms = min(outstanding.resend_ms, max(rest_ms, SHORTEST_WAIT_MS))
+            await _wait_event(outstanding.wake, wait_ms)
 
     def _send_chunks(self, outstanding: _Outstanding, now_ms: float) -> None:
         if not outstanding.cookie and not self._bind(outstanding):
--- a/src/cardamomtiller/dataplane.py
+++ b/src/cardamomtiller/dataplane.py
@@ -116,6 +116,7 @@
         self._peer_socket: DatagramSocket | None = None
         self._next_report_ms: float = 0
         self._catalog: Catalog | None = None
+        self._ticked_ms: float = 0
         self._link_options = LinkOptions.from_settings(settings.link)
         self._router = Router(
             view,
@@ -265,6 +266,7 @@
             upstream=upstream or None,
         )
         now_ms = _now_ms()
+        self._notice_pause(now_ms)
         match self._router.route(inbound, now_ms, time.time() * MS_PER_S):
             case Local() as local:
                 forwarder = forward.sender if forward else ''
@@ -459,8 +461,17 @@
             self.tick(_now_ms())
             await asyncio.sleep(TICK_MS / MS_PER_S)
 
+    def _notice_pause(self, now_ms: float) -> None:
+        gap_ms = now_ms - self._ticked_ms
+        is_late = gap_ms > self._settings.membership.late_wake_ms
+        if is_late and self._ticked_ms and self.parts:
+            self.parts.home.woke_ms = now_ms
+            self._counters.add('instance.woke_late')
+
     def tick(self, now_ms: float) -> None:
         """Do what is due now."""
+        self._notice_pause(now_ms)
+        self._ticked_ms = now_ms
         for name, served in tuple(self.served.items()):
             served.home.tick(now_ms)
             if served.retired_ms is not None:
--- a/src/cardamomtiller/flowserving.py
+++ b/src/cardamomtiller/flowserving.py
@@ -127,7 +127,7 @@
         row.pending_generation = 0
         row.generation = message.generation
         row.is_home = True
-        row.pong_ms = now_ms
+        row.pinged_ms = 0
         self._home.count('flow.opened' if row.generation == 1 else 'flow.resumed')
         self._send_opened(row, now_ms)
         if row.forwarder:
@@ -186,8 +186,10 @@
         self._requests.finish_below(row.flow, first_open, now_ms)
         if not self._home.is_owner:
             self._home.send(row, Packet(moved=Moved()))
-        silence_ms = now_ms - row.pong_ms
-        if silence_ms > self._home.settings.entrance.silence_ms:
+        row.pinged_ms = row.pinged_ms or now_ms
+        # Answers that came during a pause of this process are still unread.
+        silent_since_ms = max(row.pinged_ms, self._home.parts.home.woke_ms)
+        if now_ms - silent_since_ms > self._home.settings.entrance.silence_ms:
             self._home.count('flow.upstream_silent')
             self._home.send(row, Packet(reset=Reset(reason=Reason.REASON_LINK_LOST)))
         ping = FlowPing(flow=row.record(row.generation))
@@ -212,7 +214,7 @@
         if refusal:
             self._lose_flow(row, now_ms)
             return
-        row.pong_ms = now_ms
+        row.pinged_ms = 0
         self._home.send(
             row, Packet(keepalive_answer=KeepaliveAnswer(is_from_upstream=True))
         )
--- a/src/cardamomtiller/flowtable.py
+++ b/src/cardamomtiller/flowtable.py
@@ -24,7 +24,8 @@
     sequence: int
     generation: int
     seen_ms: float
-    pong_ms: float
+    # When the oldest ping without an answer was sent; 0 if there is none.
+    pinged_ms: float = 0
     is_home: bool = False
     pending_generation: int = 0
     permit: Permit | None = None
@@ -72,7 +73,6 @@
             sequence=record.sequence,
             generation=record.generation,
             seen_ms=now_ms,
-            pong_ms=now_ms,
         )
         if held:
             row.permit = held.permit
--- a/src/cardamomtiller/home.py
+++ b/src/cardamomtiller/home.py
@@ -56,6 +56,8 @@
 
     instance: InstanceId
     incarnation: Incarnation
+    # When the process last noticed that it had been paused.
+    woke_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,7 +187,6 @@
             sequence=arrival.packet.sequence,
             generation=0,
             seen_ms=now_ms,
-            pong_ms=now_ms,
             flow_key=arrival.flow_key,
             forwarder=arrival.forwarder,
         )
