--- a/src/cardamomtiller/cli.py
+++ b/src/cardamomtiller/cli.py
@@ -334,7 +334,13 @@
     counts = answer.get('counters') if isinstance(answer, Mapping) else None
     if not isinstance(counts, Mapping):
         _fail(f'{address}: answer has no counters')
-    return burn.Sample(str(address), time.time() * MS_PER_S, counts)
+    # Hours of samples are kept, so only what the report needs is.
+    events = {
+        name: total
+        for name, total in counts.items()
+        if name.startswith(burn.COUNTER_PREFIX)
+    }
+    return burn.Sample(str(address), time.time() * MS_PER_S, events)
 
 
 def _print_path(address: str, path: str) -> None:
