--- a/examples/call.py
+++ b/examples/first/call.py
@@ -7,7 +7,7 @@
 
 ADDRESS = Endpoint('127.0.0.1', 7400)
 CUSTOMER = 'corner-shop'
-# Stands in examples/lists-first/customers.ini.
+# Stands in examples/first/lists/customers.ini.
 SECRET = bytes.fromhex('101d6cfeacbcfa4a9b083bc6ced29283')
 PATIENCE_S = 10
 
--- a/tests/features/operators.feature
+++ b/tests/features/operators.feature
@@ -7,7 +7,7 @@
       | folder        | instances | upstreams |
       | lists-vuniwai | 9         | 11        |
       | lists-saomai  | 9         | 10        |
-      | lists-first   | 1         | 1         |
+      | first/lists   | 1         | 1         |
 
   Scenario: The example settings pass the check and are up to date with the schema
     Then the example settings pass the check with "lists-vuniwai"
