--- a/src/cardamomtiller/admission.py
+++ b/src/cardamomtiller/admission.py
@@ -24,6 +24,11 @@
 DEMAND_GROWTH = 1.25
 # Demand of one customer is compared at most this often.
 LEAST_ASK_MS = 10
+# A customer keeps a part of the unused allowance for this time after its last
+# traffic, so that its next request is not refused for want of a share.
+LINGER_MS = 10_000
+# Time in which the first report of a customer brings a share.
+FIRST_RETRY_MS = 50
 
 
 class PermitKind(Enum):
@@ -61,6 +66,7 @@
         'generation',
         'reported',
         'request_limit',
+        'seen_ms',
         'share',
         'traffic',
         'until_ms',
@@ -71,6 +77,7 @@
         self.share = NOTHING
         self.until_ms = -math.inf
         self.asked_ms = -math.inf
+        self.seen_ms = now_ms
         self.generation = -1
         self.bucket: TokenBucket | None = None
         self.request_limit = 0
@@ -206,9 +213,11 @@
             demand = self.demand(customer, now_ms)
             usage.reported = demand
             if demand != NOTHING:
+                usage.seen_ms = now_ms
+            if now_ms < usage.seen_ms + LINGER_MS:
                 demands[customer] = demand
                 uses[customer] = usage.traffic.use()
-            elif usage.traffic.is_idle() and self._is_rested(usage, now_ms):
+            elif self._is_rested(usage, now_ms):
                 self._usages.pop(customer)
         self._lease.set_traffic(demands, uses)
 
@@ -228,14 +237,16 @@
 
     def _is_rested(self, usage: _Usage, now_ms: float) -> bool:
         """Tell whether a new bucket would hold no more than this one."""
-        if usage.bucket is None:
-            return True
+        if usage.bucket is None or not usage.traffic.is_idle():
+            return usage.bucket is None
         burst = usage.share.rate_per_s * self._burst_ms / MS_PER_S
         return usage.bucket.level(now_ms) >= burst
 
     def _refuse(
         self, usage: _Usage, wait_ms: float, now_ms: float
     ) -> Result[Permit, Refusal]:
+        if usage.reported == NOTHING:
+            wait_ms = min(wait_ms, FIRST_RETRY_MS)
         self._ask_for_more(usage, now_ms)
         retry_after_ms = max(1, math.ceil(min(wait_ms, LONGEST_RETRY_MS)))
         return Failure(Refusal(Reason.REASON_OVER_ALLOWANCE, retry_after_ms))
--- a/src/cardamomtiller/lease.py
+++ b/src/cardamomtiller/lease.py
@@ -22,7 +22,10 @@
 ROOT_SCOPE = 'root'
 DOMAIN_SCOPE_PREFIX = 'domain/'
 # Reports per silence, so that one lost report does not end a pledge.
-REPORTS_PER_SILENCE = 2.5
+REPORTS_PER_SILENCE = 3
+# First wait for an answer before the report is repeated; it doubles up to the
+# regular interval.
+RETRY_MS = 150.0
 # Interval of urgent reports; it doubles up to the regular one, so that a
 # customer that stays at its limit does not raise the control traffic.
 URGENT_INTERVAL_MS = 25.0
@@ -40,7 +43,14 @@
         self._interval_ms = interval_ms
         self._urgent_interval_ms = URGENT_INTERVAL_MS
         self._last_ms = -math.inf
+        self._retry_ms = RETRY_MS
         self._is_urgent = False
+        self._is_answered = True
+
+    def answered(self) -> None:
+        """Note an answer to the last report."""
+        self._is_answered = True
+        self._retry_ms = RETRY_MS
 
     def request(self, *, is_new: bool) -> None:
         """Shorten the wait; new needs start again at the shortest interval."""
@@ -50,10 +60,12 @@
 
     def next_ms(self) -> float:
         """Return the time of the next report."""
+        interval_ms = self._interval_ms
         if self._is_urgent:
-            interval_ms = min(self._urgent_interval_ms, self._interval_ms)
-            return self._last_ms + interval_ms
-        return self._last_ms + self._interval_ms
+            interval_ms = min(interval_ms, self._urgent_interval_ms)
+        if not self._is_answered:
+            interval_ms = min(interval_ms, self._retry_ms)
+        return self._last_ms + interval_ms
 
     def is_due(self, now_ms: float) -> bool:
         """Tell whether a report is due."""
@@ -62,6 +74,9 @@
     def sent(self, now_ms: float) -> None:
         """Note that a report was sent."""
         self._last_ms = now_ms
+        if not self._is_answered:
+            self._retry_ms = min(self._retry_ms * URGENT_GROWTH, self._interval_ms)
+        self._is_answered = False
         if self._is_urgent:
             longer_ms = self._urgent_interval_ms * URGENT_GROWTH
             self._urgent_interval_ms = min(longer_ms, self._interval_ms)
@@ -202,7 +217,9 @@
         if self._upper_schedule.is_due(now_ms) and self._upper.grantor is not None:
             self._upper_schedule.sent(now_ms)
             report = self._make_upper_report(now_ms)
-            if report is not None:
+            if report is None:
+                self._upper_schedule.answered()
+            else:
                 yield from self._deliver(self._upper, report, now_ms)
 
     def handle_report(self, report: LeaseReport, now_ms: float) -> LeaseGrant:
@@ -223,9 +240,10 @@
         if not holder.accept(grant, now_ms):
             return
         self.generation += 1
+        schedule = self._upper_schedule if is_upper else self._schedule
+        schedule.answered()
         if holder.is_smaller_than(before):
             # Another holder can grow only after this one has confirmed.
-            schedule = self._upper_schedule if is_upper else self._schedule
             schedule.request(is_new=False)
 
     def share_until(
--- /dev/null
+++ b/tests/features/steps/limits_steps.py
@@ -0,0 +1,653 @@
+"""Steps for buckets, leases and admission."""
+
+import math
+from fractions import Fraction
+
+from behave import given, then, when
+from hypothesis import given as hypothesis_given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+from returns.result import Failure, Success
+
+from cardamomtiller.allowance import Allowance, fair_part, fair_units
+from cardamomtiller.bucket import TokenBucket
+from cardamomtiller.grantor import Grantor
+from cardamomtiller.holder import Holder
+from cardamomtiller.lease import LeaseAgent
+from cardamomtiller.wire_pb2 import Reason
+from tools.lease_fleet import DEFAULTS, Fleet
+
+PLAN = Allowance(100, 40, 200, 1_000_000)
+PLANS = {'c': PLAN, 'd': Allowance(7, 3, 11, 5000)}
+STEP_MS = 10
+WARM_MS = 14_000
+# Single precision and the margin of whole units.
+EXCESS_TOLERANCE = 1e-3
+
+
+@then('{count:d} random uses of a bucket agree with exact arithmetic')
+def check_bucket(context, count):
+    uses = strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 5000), strategies.sampled_from((1, 2, 5))
+        ),
+        max_size=60,
+    )
+
+    @hypothesis_settings(max_examples=count, derandomize=True, deadline=None)
+    @hypothesis_given(strategies.integers(1, 1000), strategies.integers(5, 100), uses)
+    def check(rate, burst, steps):
+        bucket = TokenBucket(rate, burst, 0)
+        tokens = Fraction(burst)
+        now_ms = 0
+        for pause_ms, amount in steps:
+            now_ms += pause_ms
+            tokens = min(Fraction(burst), tokens + Fraction(pause_ms * rate, 1000))
+            wait_ms = max(Fraction(0), (amount - tokens) * 1000 / rate)
+            assert math.isclose(bucket.wait_ms(amount, now_ms), wait_ms, abs_tol=1e-5)
+            is_taken = bucket.take(amount, now_ms)
+            assert is_taken == (tokens >= amount), (tokens, amount)
+            tokens -= amount if is_taken else 0
+
+    check()
+
+
+@then('a bucket that is asked at an earlier time stays empty')
+def check_backwards(context):
+    bucket = TokenBucket(10, 5, 1000)
+    assert bucket.take(5, 1000)
+    assert not bucket.take(1, 500)
+    assert not bucket.take(1, 1050)
+    assert bucket.take(1, 1100)
+    assert bucket.wait_ms(6, 1100) == math.inf
+
+
+@then('{count:d} random fair divisions are within the pool and max-min fair')
+def check_division(context, count):
+    demands = strategies.lists(strategies.integers(0, 50), min_size=1, max_size=20)
+
+    @hypothesis_settings(max_examples=count, derandomize=True, deadline=None)
+    @hypothesis_given(demands, strategies.integers(0, 300), strategies.integers(0, 100))
+    def check(rows, pool, rotation):
+        parts = [fair_part(rows, own, pool) for own in rows]
+        units = [fair_units(rows, index, pool, rotation) for index in range(len(rows))]
+        assert math.isclose(sum(parts), pool if sum(rows) else sum(parts)) or (
+            sum(parts) <= pool
+        )
+        assert sum(units) == pool
+        for results, step in ((parts, 1e-6), (units, 1)):
+            largest = max(results)
+            for demand, part in zip(rows, results, strict=True):
+                # Whoever has less than its demand has as much as anyone.
+                assert part >= demand - 1e-6 or part >= largest - step - 1e-6
+
+    check()
+
+
+class ForgetfulGrantor(Grantor):
+    """Ignores the shares that are in use elsewhere."""
+
+    def _recount(self, member, now_ms):
+        member.outstanding = {}
+
+
+class HastyGrantor(Grantor):
+    """Counts only the latest grant of a holder, though it may be lost."""
+
+    def _recount(self, member, now_ms):
+        member.leases = member.leases[-1:]
+        super()._recount(member, now_ms)
+
+
+class EagerGrantor(Grantor):
+    """Counts a pledge from its first report on."""
+
+    def floors(self, now_ms):
+        return sum(
+            member.steps[-1][1]
+            for member in self._members.values()
+            if now_ms < member.contact_end_ms and member.steps
+        )
+
+
+class OneWayGrantor(Grantor):
+    """Takes every report for a contact, as if it echoed the present stamp."""
+
+    def _note(self, key, member, report, now_ms):
+        if member.stamps and report.echoed_stamp_ms:
+            member.stamps.append(int(now_ms) - 1)
+            report.echoed_stamp_ms = int(now_ms) - 1
+        super()._note(key, member, report, now_ms)
+
+
+class ArrivalHolder(Holder):
+    """Counts a lease from the arrival of its grant."""
+
+    def accept(self, grant, now_ms):
+        if grant.sequence in self._sent_ms:
+            self._sent_ms[grant.sequence] = now_ms
+        return super().accept(grant, now_ms)
+
+
+class SleepyHolder(Holder):
+    """Does not notice that its shares have expired."""
+
+    def shares(self, now_ms):
+        return super().shares(0)
+
+
+class DoubleHolder(Holder):
+    """Pledges to its new grantor without waiting for the old pledge."""
+
+    def _begin_pledge(self, floors, now_ms):
+        pledge, contact = self._pledge, self._contact
+        if pledge and contact and pledge.grantor != contact.grantor:
+            self._pledge = None
+        super()._begin_pledge(floors, now_ms)
+
+
+class ImpatientHolder(Holder):
+    """Reclaims its floors as soon as its shares have ended."""
+
+    def __init__(self, scope, own, incarnation, times, reclaim_ms):
+        super().__init__(scope, own, incarnation, times, times.lease_ms)
+
+
+FAULTS = {
+    'the grantor ignores outstanding shares': (ForgetfulGrantor, Holder),
+    'the grantor forgets a share it has replaced': (HastyGrantor, Holder),
+    'the grantor counts a pledge at once': (EagerGrantor, Holder),
+    'the grantor counts a pledge without echo': (OneWayGrantor, Holder),
+    'the holder counts a grant from its arrival': (Grantor, ArrivalHolder),
+    'the holder keeps expired shares': (Grantor, SleepyHolder),
+    'the holder pledges to two grantors': (Grantor, DoubleHolder),
+    'the holder reclaims its floors at once': (Grantor, ImpatientHolder),
+}
+
+
+def agent_class(grantor_class, holder_class):
+    """Return the agent with other classes for its roles."""
+
+    class Agent(LeaseAgent):
+        def _make_holder(self, scope, reclaim_ms):
+            return holder_class(
+                scope, self._own, self._incarnation, self._times, reclaim_ms
+            )
+
+        def _make_grantor(self, scope):
+            return grantor_class(scope, self._own, self._incarnation, self._times)
+
+    return Agent
+
+
+class DisturbedRun:
+    """One random run; the largest excess over the plans is recorded."""
+
+    DURATION_MS = 50_000
+    STEP_MS = 25
+
+    def __init__(self, seed, make_agent):
+        size = 9 + seed % 12
+        self.fleet = Fleet(
+            size, 2 + seed % 4, seed, make_agent=make_agent, clock_error=0.001
+        )
+        self.random = self.fleet.random
+        self.fleet.loss = self.random.choice((0, 0, 0.1))
+        self.fleet.duplication = self.random.choice((0, 0.2))
+        self.fleet.late_share = self.random.choice((0, 0.02, 0.1))
+        self.published = dict(PLANS)
+        self.fleet.agree(self.published)
+        # What any instance has known in the last lease, by time.
+        self.known = []
+        self.excess = -math.inf
+        self.actions = {
+            self.pause: 6,
+            self.restart: 0.5,
+            self.cut: 1,
+            self.heal: 3,
+            self.confuse: 0.7,
+            self.replan: 0.4,
+        }
+
+    def run(self):
+        next_ms = 0.0
+        while self.fleet.now_ms < self.DURATION_MS:
+            if self.fleet.now_ms >= next_ms:
+                self.disturb()
+                next_ms += self.random.choice((400, 1500, 3000))
+            self.fleet.step(self.STEP_MS)
+            self.check()
+            if self.excess > EXCESS_TOLERANCE:
+                break
+        return self.excess
+
+    def disturb(self):
+        """Change demands, and something else."""
+        nodes = list(self.fleet.nodes.values())
+        for node in nodes:
+            if node.demands is None or self.random.random() < 0.5:
+                node.demands = self.draw_demands()
+                node.agent.request_report()
+            self.teach(node)
+        chosen = self.random.choice(nodes)
+        (action,) = self.random.choices(list(self.actions), self.actions.values())
+        action(chosen, nodes)
+
+    def draw_demands(self):
+        demands = {}
+        for name, plan in PLANS.items():
+            share = self.random.choice((0, 0, 0.3, 1))
+            if share:
+                demands[name] = plan.scaled(share)
+        return demands
+
+    def teach(self, node):
+        """Let plans and views arrive, not everywhere at once."""
+        if node.is_running and self.random.random() < 0.4:
+            self.fleet.give_plans(node, self.published)
+        if node.is_running and self.random.random() < 0.4:
+            self.fleet.give_view(node, self.fleet.nodes, self.fleet.published)
+
+    def pause(self, node, nodes):
+        """Pause an instance, or resume one that was paused."""
+        paused = [row for row in nodes if not row.is_running]
+        if paused:
+            # Its first decision comes before the messages that have arrived.
+            paused[0].is_running = True
+            self.check()
+            self.fleet.resume(paused[0])
+        else:
+            node.is_running = False
+
+    def restart(self, node, nodes):
+        self.fleet.restart(node.name)
+        fresh = self.fleet.nodes[node.name]
+        self.fleet.give_view(fresh, self.fleet.nodes, self.fleet.published)
+
+    def cut(self, node, nodes):
+        """Cut one direction, or a failure domain off."""
+        if self.random.random() < 0.5:
+            other = self.random.choice(nodes)
+            self.fleet.blocked.add((node.name, other.name))
+        else:
+            self.fleet.partition(row.name for row in nodes if row.domain == node.domain)
+
+    def heal(self, node, nodes):
+        self.fleet.blocked.clear()
+
+    def confuse(self, node, nodes):
+        """Give half of the instances views of their own."""
+        for row in nodes:
+            if self.random.random() < 0.5:
+                seen = [other.name for other in nodes if self.random.random() < 0.6]
+                more = self.random.choice((0, 0, 1))
+                self.fleet.give_view(row, seen, self.fleet.published + more)
+
+    def replan(self, node, nodes):
+        factor = self.random.choice((0.5, 1, 2))
+        self.published = {name: plan.scaled(factor) for name, plan in PLANS.items()}
+
+    def check(self):
+        now_ms = self.fleet.now_ms
+        nodes = self.fleet.nodes.values()
+        now_known = {
+            name: max(node.plans[name].rate_per_s for node in nodes) for name in PLANS
+        }
+        self.known.append((now_ms, now_known))
+        begin_ms = now_ms - DEFAULTS.lease_ms * 1.01
+        self.known = [row for row in self.known if row[0] >= begin_ms]
+        for name, plan in PLANS.items():
+            highest = max(row[name] for _, row in self.known) / plan.rate_per_s
+            total = self.fleet.total(name)
+            parts = zip(total.as_tuple(), plan.as_tuple(), strict=True)
+            for used, allowed in parts:
+                self.excess = max(self.excess, used / (allowed * highest) - 1)
+
+
+@given('leases with the real protocol')
+def use_real(context):
+    context.lease_agent = LeaseAgent
+
+
+@given('leases with the fault "{fault}"')
+def use_fault(context, fault):
+    context.lease_agent = agent_class(*FAULTS[fault])
+
+
+@then('{count:d} disturbed runs of leases stay within the plans')
+def check_runs(context, count):
+    @hypothesis_settings(max_examples=count, derandomize=True, deadline=None)
+    @hypothesis_given(strategies.integers(0, 10_000))
+    def check(seed):
+        excess = DisturbedRun(seed, context.lease_agent).run()
+        assert excess <= EXCESS_TOLERANCE, (seed, excess)
+
+    check()
+
+
+@then('one of {count:d} disturbed runs of leases exceeds a plan')
+def check_noticed(context, count):
+    for seed in range(count):
+        if DisturbedRun(seed, context.lease_agent).run() > EXCESS_TOLERANCE:
+            return
+    raise AssertionError(f'no run of {count} exceeded a plan')
+
+
+class Admitted:
+    """Counts what the admission of a fleet lets through."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.total = 0
+        self.highest_share = 0.0
+
+    def ask(self, node, customer, times=1):
+        """Ask for short requests on one instance."""
+        for _ in range(times):
+            clock_ms = node.clock_ms(self.fleet.now_ms)
+            result = node.admission.admit_request(customer, 10, clock_ms)
+            if isinstance(result, Success):
+                self.total += 1
+                node.admission.release(result.unwrap(), clock_ms)
+
+    def run(self, duration_ms, ask=lambda now_ms: None):
+        """Advance the fleet and watch the sum of shares."""
+        end_ms = self.fleet.now_ms + duration_ms
+        while self.fleet.now_ms < end_ms:
+            self.fleet.step(STEP_MS)
+            ask(self.fleet.now_ms)
+            share = self.fleet.total('c').rate_per_s
+            self.highest_share = max(self.highest_share, share)
+
+
+@given('{count:d} instances with leases in {domains:d} failure domains')
+def start_fleet(context, count, domains):
+    context.fleet = Fleet(count, domains)
+    context.fleet.agree(PLANS)
+    context.admitted = Admitted(context.fleet)
+    context.nodes = list(context.fleet.nodes.values())
+    context.admitted.run(WARM_MS)
+
+
+@when('customer "{name}" asks for {rate:d} requests/s on one instance for {time:d} s')
+def ask_one(context, name, rate, time):
+    node = context.nodes[3]
+    times = rate * STEP_MS // 1000
+
+    def ask(_now_ms):
+        context.admitted.ask(node, name, times)
+
+    # The bucket fills and the share arrives before the measurement.
+    context.admitted.run(10_000, ask)
+    context.admitted.total = 0
+    context.admitted.run(time * 1000, ask)
+    context.duration_s = time
+
+
+@then(
+    'customer "{name}" was admitted at least {least:d}% and at most {most:d}% '
+    'of {rate:d} requests/s'
+)
+def check_admitted(context, name, least, most, rate):
+    part = context.admitted.total / (rate * context.duration_s)
+    assert least / 100 <= part <= most / 100, part
+
+
+@when('the demand of customer "{name}" moves to another instance every 2 s for 60 s')
+def move_demand(context, name):
+    def ask(now_ms):
+        node = context.nodes[int(now_ms / 2000) % len(context.nodes)]
+        context.admitted.ask(node, name, 3)
+
+    context.admitted.run(60_000, ask)
+    context.duration_s = 60
+
+
+@then('customer "{name}" was admitted at most 102% of its plan plus one bucket')
+def check_moving(context, name):
+    plan = PLANS[name].rate_per_s
+    bucket = plan * DEFAULTS.burst_ms / 1000
+    most = 1.02 * plan * context.duration_s + bucket
+    assert 0 < context.admitted.total <= most, context.admitted.total
+    assert context.admitted.highest_share <= plan + EXCESS_TOLERANCE
+
+
+@when('customer "{name}" asks on all instances at once after a rest of 10 s')
+def ask_all_at_once(context, name):
+    def ask(_now_ms):
+        for node in context.nodes:
+            context.admitted.ask(node, name, 5)
+
+    context.admitted.run(10_000, ask)
+    context.admitted.run(10_000)
+    context.admitted.total = 0
+    context.admitted.run(2000, ask)
+    context.duration_s = 2
+
+
+@then('at most one bucket of customer "{name}" was admitted beyond its rate')
+def check_burst(context, name):
+    plan = PLANS[name].rate_per_s
+    bucket = plan * DEFAULTS.burst_ms / 1000
+    most = bucket + plan * context.duration_s
+    assert plan < context.admitted.total <= most, context.admitted.total
+
+
+@when(
+    'customer "{name}" asks everywhere and one failure domain is cut off for {time:d} s'
+)
+def cut_domain(context, name, time):
+    fleet = context.fleet
+
+    def ask(_now_ms):
+        for node in context.nodes:
+            context.admitted.ask(node, name, 1)
+
+    context.admitted.run(6000, ask)
+    fleet.partition(node.name for node in context.nodes if node.domain == 'd1')
+    context.admitted.run(2000, ask)
+    for node in context.nodes:
+        is_cut = node.domain == 'd1'
+        seen = [row.name for row in context.nodes if (row.domain == 'd1') == is_cut]
+        fleet.give_view(node, seen, fleet.published)
+    context.admitted.run(6000, ask)
+    context.lowest = {}
+
+    def watch(now_ms):
+        ask(now_ms)
+        for domain in {node.domain for node in context.nodes}:
+            total = sum(
+                node.share(name, now_ms).rate_per_s
+                for node in context.nodes
+                if node.domain == domain
+            )
+            lowest = context.lowest.get(domain, math.inf)
+            context.lowest[domain] = min(lowest, total)
+
+    context.admitted.run(time * 1000 - 8000, watch)
+    fleet.blocked.clear()
+    for node in context.nodes:
+        fleet.give_view(node, fleet.nodes, fleet.published)
+    context.admitted.run(15_000, ask)
+
+
+@then('the shares of customer "{name}" never added up to more than its plan')
+def check_highest(context, name):
+    most = PLANS[name].rate_per_s + EXCESS_TOLERANCE
+    assert context.admitted.highest_share <= most, context.admitted.highest_share
+
+
+@then('every failure domain had at least 95% of its floors after the wait')
+def check_domains(context):
+    size = len(context.nodes)
+    for domain, lowest in context.lowest.items():
+        count = sum(node.domain == domain for node in context.nodes)
+        assert lowest >= 0.95 * 100 * count / size, context.lowest
+
+
+@then('the whole plan is in use again after the partition')
+def check_healed(context):
+    total = context.fleet.total('c').rate_per_s
+    assert total >= 0.95 * PLAN.rate_per_s, total
+
+
+@when('customer "{name}" asks everywhere and its plan is halved')
+def halve_plan(context, name):
+    def ask(_now_ms):
+        for node in context.nodes:
+            context.admitted.ask(node, name, 1)
+
+    context.admitted.run(6000, ask)
+    fleet = context.fleet
+    context.before = fleet.total(name).rate_per_s
+    lower = {**PLANS, name: PLAN.scaled(0.5)}
+    context.at_once = []
+    for index, node in enumerate(context.nodes):
+        # Grantors learn at different times within half a second.
+        if index % 3 == 0:
+            context.admitted.run(150, ask)
+        fleet.give_plans(node, lower)
+        share = node.agent.share(name, node.clock_ms(fleet.now_ms))
+        context.at_once.append(share.rate_per_s)
+    context.admitted.run(DEFAULTS.lease_ms, ask)
+    context.after = []
+    for _ in range(200):
+        context.admitted.run(STEP_MS, ask)
+        context.after.append(fleet.total(name).rate_per_s)
+
+
+@then('each instance is below the lower plan at once')
+def check_at_once(context):
+    assert max(context.at_once) <= PLAN.rate_per_s / 2 + EXCESS_TOLERANCE
+
+
+@then('the sum is below the lower plan within one lease')
+def check_lowered(context):
+    assert context.before > 0.9 * PLAN.rate_per_s, context.before
+    assert max(context.after) <= PLAN.rate_per_s / 2 + EXCESS_TOLERANCE
+
+
+@when('customer "{name}" fills its open flows on one instance and then asks on another')
+def fill_flows(context, name):
+    context.flows = {0: [], 1: []}
+
+    def open_on(index):
+        node = context.nodes[index]
+        clock_ms = node.clock_ms(context.fleet.now_ms)
+        result = node.admission.admit_flow(name, clock_ms)
+        if isinstance(result, Success):
+            context.flows[index].append(result.unwrap())
+        open_count = sum(len(rows) for rows in context.flows.values())
+        context.most_flows = max(context.most_flows, open_count)
+
+    context.most_flows = 0
+    context.open_on = open_on
+    context.admitted.run(8000, lambda now_ms: open_on(0))
+    context.filled = len(context.flows[0])
+    context.admitted.run(20_000, lambda now_ms: open_on(1))
+
+
+@then('no more flows of customer "{name}" are open than its plan allows')
+def check_flows(context, name):
+    assert context.filled >= 0.95 * PLAN.open_flows, context.filled
+    assert context.most_flows <= PLAN.open_flows, context.most_flows
+    assert len(context.flows[0]) == context.filled
+
+
+@then('the flows of customer "{name}" that were closed can be opened elsewhere')
+def check_moved_flows(context, name):
+    node = context.nodes[0]
+    for permit in context.flows[0][:100]:
+        node.admission.release(permit, node.clock_ms(context.fleet.now_ms))
+    del context.flows[0][:100]
+    context.admitted.run(10_000, lambda now_ms: context.open_on(1))
+    assert len(context.flows[1]) >= 0.95 * 100, len(context.flows[1])
+    assert context.most_flows <= PLAN.open_flows, context.most_flows
+
+
+def warm(context, name):
+    """Let a customer get its share, and rest until its bucket is full."""
+    context.admitted.run(
+        3000, lambda now_ms: context.admitted.ask(context.nodes[0], name)
+    )
+    context.admitted.run(3000)
+    return context.nodes[0].clock_ms(context.fleet.now_ms)
+
+
+@when('a permit of customer "{name}" is released twice')
+def release_twice(context, name):
+    admission = context.nodes[0].admission
+    now_ms = context.now_ms = warm(context, name)
+    first = admission.admit_request(name, 1, now_ms).unwrap()
+    admission.admit_request(name, 1, now_ms).unwrap()
+    admission.release(first, now_ms)
+    admission.release(first, now_ms)
+
+
+@then('customer "{name}" can use exactly its concurrent requests')
+def check_exact_use(context, name):
+    admission = context.nodes[0].admission
+    results = [admission.admit_request(name, 1, context.now_ms) for _ in range(60)]
+    admitted = sum(isinstance(result, Success) for result in results)
+    assert admitted == PLAN.concurrent_requests - 1, admitted
+
+
+@then('customer "{name}" above its rate is refused for its allowance with a time')
+def check_refusal(context, name):
+    node = context.nodes[0]
+    now_ms = warm(context, name)
+    while isinstance(result := node.admission.admit_request(name, 1, now_ms), Success):
+        node.admission.release(result.unwrap(), now_ms)
+    refusal = result.failure()
+    assert refusal.reason == Reason.REASON_OVER_ALLOWANCE
+    assert 1 <= refusal.retry_after_ms <= 20, refusal
+    after_ms = now_ms + refusal.retry_after_ms
+    assert isinstance(node.admission.admit_request(name, 1, after_ms), Success)
+
+
+@then('an unknown customer is refused as unknown')
+def check_unknown(context):
+    result = context.nodes[0].admission.admit_request('nobody', 1, 0)
+    assert isinstance(result, Failure)
+    assert result.failure().reason == Reason.REASON_UNKNOWN_CUSTOMER
+
+
+@then('customer "{name}" can have 95% of {limit:d} bytes in flight and not one above')
+def check_bytes(context, name, limit):
+    admission = context.nodes[0].admission
+    now_ms = warm(context, name)
+    large = admission.admit_request(name, limit * 95 // 100, now_ms).unwrap()
+    rest = limit - large.bytes_count
+    assert isinstance(admission.admit_request(name, rest + 1, now_ms), Failure)
+    admission.release(large, now_ms)
+    assert admission.use(name).bytes_in_flight == 0
+    assert isinstance(admission.admit_request(name, rest + 1, now_ms), Success)
+
+
+@when('customer "{name}" begins to ask on one instance between two reports')
+def begin_between(context, name):
+    node = context.nodes[3]
+    while node.agent.next_report_ms() < node.clock_ms(context.fleet.now_ms) + 100:
+        context.fleet.step(STEP_MS)
+    context.begun_ms = node.clock_ms(context.fleet.now_ms)
+    node.admission.admit_request(name, 1, context.begun_ms)
+
+
+@then('a report of that instance is due within 30 ms')
+def check_urgent(context):
+    admission = context.nodes[3].admission
+    assert admission.is_urgent_report_due(context.begun_ms + 30)
+
+
+@then('the reports of idle instances are as long with 1000 customers as with 1')
+def check_idle_bytes(context):
+    lengths = []
+    for count in (1, 1000):
+        fleet = Fleet(9, 4)
+        fleet.agree({f'c{index}': PLAN for index in range(count)})
+        Admitted(fleet).run(WARM_MS)
+        before = sum(node.sent_bytes for node in fleet.nodes.values())
+        Admitted(fleet).run(5000)
+        after = sum(node.sent_bytes for node in fleet.nodes.values())
+        lengths.append(after - before)
+    assert lengths[0] == lengths[1] > 0, lengths
--- a/tools/lease_fleet.py
+++ b/tools/lease_fleet.py
@@ -7,8 +7,10 @@
 import heapq
 import itertools
 import random
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 
 from cardamomtiller.admission import Admission
 from cardamomtiller.allowance import Allowance
@@ -52,14 +54,29 @@
     clock_rate: float
     is_running: bool = True
     plans: dict[str, Allowance] = field(default_factory=dict)
+    # Demands set by a test; None if the admission measures them.
+    demands: dict[CustomerId, Allowance] | None = None
     pending: list[Callable[[], None]] = field(default_factory=list)
+    # Shares in force, until when, and the generation of the agent.
+    shares: dict[str, tuple[Allowance, float, int]] = field(default_factory=dict)
     sent_bytes: int = 0
     sent_messages: int = 0
+    received_bytes: int = 0
 
     def clock_ms(self, now_ms: float) -> float:
         """Return the time of this instance's own clock."""
         return self.offset_ms + now_ms * self.clock_rate
 
+    def share(self, customer: str, now_ms: float) -> Allowance:
+        """Return the share as the admission sees it, kept until it may change."""
+        clock_ms = self.clock_ms(now_ms)
+        kept = self.shares.get(customer)
+        generation = self.agent.generation
+        if kept is None or clock_ms >= kept[1] or kept[2] != generation:
+            found = self.agent.share_until(CustomerId(customer), clock_ms)
+            kept = self.shares[customer] = (*found, generation)
+        return kept[0]
+
 
 class Fleet:
     """Agents, clocks and a network, advanced in steps."""
@@ -80,7 +97,11 @@
         self.delay_ms = (0.5, 1.5)
         self.loss = 0.0
         self.duplication = 0.0
+        self.late_share = 0.0
+        self.late_ms = (0.0, 4000.0)
         self.published = count
+        # Processor time by instance, measured once a caller has set it.
+        self.cpu_s: dict[InstanceId, float] = {}
         self.blocked: set[tuple[InstanceId, InstanceId]] = set()
         self._make_agent = make_agent
         self._clock_error = clock_error
@@ -159,24 +180,32 @@
             _, _, receiver, action = heapq.heappop(self._mail)
             node = self.nodes[receiver]
             if node.is_running:
-                action()
+                self._timed(node, action)
             else:
                 node.pending.append(action)
         for node in self.running():
             clock_ms = node.clock_ms(self.now_ms)
             if node.agent.next_report_ms() <= clock_ms:
-                self._send_reports(node, clock_ms)
+                self._timed(node, partial(self._send_reports, node, clock_ms))
 
     def total(self, customer: str) -> Allowance:
         """Return the sum of shares that running instances may use now."""
         total = Allowance()
         for node in self.running():
-            clock_ms = node.clock_ms(self.now_ms)
-            total += node.agent.share(CustomerId(customer), clock_ms)
+            total += node.share(customer, self.now_ms)
         return total
 
+    def _timed(self, node: Node, action: Callable[[], None]) -> None:
+        begin_s = time.perf_counter()
+        action()
+        if self.cpu_s:
+            self.cpu_s[node.name] += time.perf_counter() - begin_s
+
     def _send_reports(self, node: Node, clock_ms: float) -> None:
-        node.admission.publish_demand(clock_ms)
+        if node.demands is None:
+            node.admission.publish_demand(clock_ms)
+        else:
+            node.agent.set_traffic(node.demands, {})
         for receiver, report in node.agent.reports_due(clock_ms):
             self._send(node, receiver, report, self._receive_report)
 
@@ -200,11 +229,20 @@
             return
         copies = 2 if self.random.random() < self.duplication else 1
         for _ in range(copies):
-            at_ms = self.now_ms + self.random.uniform(*self.delay_ms)
+            is_late = self.random.random() < self.late_share
+            delay_ms = self.random.uniform(
+                *(self.late_ms if is_late else self.delay_ms)
+            )
+            at_ms = self.now_ms + delay_ms
             # The receiver's process is looked up at delivery: it may be a new one.
             action = self._delivery(receiver, node.name, message, handle)
             entry = (at_ms, next(self._order), receiver, action)
             heapq.heappush(self._mail, entry)
 
     def _delivery(self, receiver, sender, message, handle) -> Callable[[], None]:
-        return lambda: handle(self.nodes[receiver], sender, message)
+        def deliver() -> None:
+            node = self.nodes[receiver]
+            node.received_bytes += message.ByteSize()
+            handle(node, sender, message)
+
+        return deliver
