Use nothing before the published number of instances is known

Cause: before the first view an agent took itself for the only instance and allowed the reserved part of the whole plan. Change: share is nothing without a view; scenarios for this, for a restart and for the example of the documentation. Conclusion: safe start is covered by scenarios.

--- a/src/cardamomtiller/lease.py
+++ b/src/cardamomtiller/lease.py
@@ -260,7 +260,8 @@
         It may change earlier when ``generation`` changes.
         """
         plan = self._plans.get(customer)
-        if plan is None:
+        if plan is None or self._division is None:
+            # Without the published number the floor is unknown.
             return NOTHING, math.inf
         self._settle_count(now_ms)
         kept, rest = self._floor_parts(customer)
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -84,3 +84,15 @@
   Scenario: Customers without traffic cost no bytes
     Given 9 instances with leases in 4 failure domains
     Then the reports of idle instances are as long with 1000 customers as with 1
+
+  Scenario: An instance without a view does not take itself for the only one
+    Given 1 instances with leases in 1 failure domains
+    Then an instance that got plans and no view may use nothing of customer "c"
+
+  Scenario: A restarted instance does not use a floor that its predecessor pledged
+    Given 9 instances with leases in 4 failure domains
+    When an instance is replaced by a new process
+    Then it has only the reserved part of customer "c" until the pledge has ended
+
+  Scenario: The example of the documentation runs
+    Then the example in "docs/lease.md" admits 95 to 100 requests/s
--- a/tests/features/steps/limits_steps.py
+++ b/tests/features/steps/limits_steps.py
@@ -1,7 +1,9 @@
 """Steps for buckets, leases and admission."""
 
 import math
+import re
 from fractions import Fraction
+from pathlib import Path
 
 from behave import given, then, when
 from hypothesis import given as hypothesis_given
@@ -651,3 +653,41 @@
         after = sum(node.sent_bytes for node in fleet.nodes.values())
         lengths.append(after - before)
     assert lengths[0] == lengths[1] > 0, lengths
+
+
+@then('the example in "{path}" admits {least:d} to {most:d} requests/s')
+def check_example(context, path, least, most):
+    (code,) = re.findall('```python\n(.*?)```', Path(path).read_text(), re.DOTALL)
+    names = {}
+    exec(code, names)
+    assert least <= names['admitted'] / 5 <= most, names['admitted']
+
+
+@then('an instance that got plans and no view may use nothing of customer "{name}"')
+def check_no_view(context, name):
+    node = context.fleet.add('fresh', 'd0')
+    context.fleet.give_plans(node, PLANS)
+    for age_ms in (0, 60_000):
+        now_ms = node.clock_ms(context.fleet.now_ms) + age_ms
+        assert node.agent.share(name, now_ms) == Allowance()
+
+
+@when('an instance is replaced by a new process')
+def replace_process(context):
+    node = context.fleet.restart(context.nodes[3].name)
+    context.fleet.give_view(node, context.fleet.nodes, context.fleet.published)
+    context.replaced = node
+
+
+@then('it has only the reserved part of customer "{name}" until the pledge has ended')
+def check_replaced(context, name):
+    begin_ms = context.fleet.now_ms
+    reserved = PLAN.rate_per_s / len(context.nodes) * DEFAULTS.reserved_share
+    pledged_ms = 2 * DEFAULTS.silence_ms + DEFAULTS.lease_ms
+    while context.fleet.now_ms < begin_ms + pledged_ms:
+        share = context.replaced.share(name, context.fleet.now_ms).rate_per_s
+        assert math.isclose(share, reserved), (context.fleet.now_ms, share)
+        context.fleet.step(STEP_MS)
+    context.admitted.run(500)
+    share = context.replaced.share(name, context.fleet.now_ms).rate_per_s
+    assert share > reserved, share
