Gather the frames of a call into one segment; start watches short

Cause: grpclib writes every frame by itself, so 6 quiet peers sent 2262 bytes/s each with the headers of TCP and IP, above the budget of 2000; and every instance took itself for a watcher at its start and held a watch of 30 s. Change: a transport that sends what one step writes as one segment; the first watch lasts 2 s and each next one twice as long.

--- a/src/cardamomtiller/peer.py
+++ b/src/cardamomtiller/peer.py
@@ -9,12 +9,13 @@
 from collections.abc import Callable, Coroutine, Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import cast
 
 from google.protobuf.message import DecodeError, Message
+from grpclib import exceptions
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.config import Configuration
 from grpclib.const import Status
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.protocol import H2Protocol
 from grpclib.protocol import Stream as ProtocolStream
 from grpclib.server import Server, Stream
@@ -67,7 +68,13 @@
     http2_connection_window_size=WINDOW_BYTES,
     http2_stream_window_size=WINDOW_BYTES,
 )
-_CALL_ERRORS = (OSError, GRPCError, StreamTerminatedError, ProtocolError, EOFError)
+_CALL_ERRORS = (
+    OSError,
+    exceptions.GRPCError,
+    exceptions.StreamTerminatedError,
+    exceptions.ProtocolError,
+    EOFError,
+)
 
 
 class MessageKind(Enum):
@@ -645,7 +652,7 @@
         sealed = await _read_request(stream, LARGEST_EXCHANGE_BYTES, self._counters)
         answered = self._exchanger.answer(sealed, self._clock_ms())
         if isinstance(answered, Failure):
-            raise GRPCError(Status.PERMISSION_DENIED, answered.failure())
+            raise exceptions.GRPCError(Status.PERMISSION_DENIED, answered.failure())
         answer = answered.unwrap()
         await stream.send_message(answer.sealed)
         sender = InstanceId(answer.request.sender)
@@ -656,7 +663,7 @@
         sealed = await _read_request(stream, LARGEST_EXCHANGE_BYTES, self._counters)
         answered = self._exchanger.answer_fetch(sealed, self._clock_ms())
         if isinstance(answered, Failure):
-            raise GRPCError(Status.PERMISSION_DENIED, answered.failure())
+            raise exceptions.GRPCError(Status.PERMISSION_DENIED, answered.failure())
         await stream.send_message(answered.unwrap())
 
     def _client(self, target: InstanceId) -> '_Client | None':
@@ -768,13 +775,59 @@
         return task
 
 
+class _GatheringTransport(asyncio.Transport):
+    """
+    Transport that sends what one step of the event loop writes as one segment.
+
+    grpclib writes each frame by itself; a unary call would need five segments.
+    """
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        super().__init__()
+        self._transport = transport
+        self._held = bytearray()
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        if not self._held:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._held += data
+
+    def close(self) -> None:
+        self._flush()
+        self._transport.close()
+
+    def is_closing(self) -> bool:
+        return self._transport.is_closing()
+
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        return self._transport.get_extra_info(name, default)
+
+    def _flush(self) -> None:
+        if self._held:
+            self._transport.write(bytes(self._held))
+            self._held.clear()
+
+
+class _Protocol(H2Protocol):
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        gathering = _GatheringTransport(cast(asyncio.Transport, transport))
+        super().connection_made(gathering)
+
+
+class _Channel(Channel):
+    def _protocol_factory(self) -> H2Protocol:
+        made = super()._protocol_factory()
+        return _Protocol(made.handler, made.config, made.h2_config)
+
+
 class _Server(Server):
     """Server that bounds its connections and closes them when it is closed."""
 
     def _protocol_factory(self) -> H2Protocol:
         # grpclib leaves established connections open after ``close``, so a peer
         # would not learn that this instance has stopped.
-        protocol = super()._protocol_factory()
+        made = super()._protocol_factory()
+        protocol = _Protocol(made.handler, made.config, made.h2_config)
         held = getattr(self, '_protocols', ())
         self._protocols = [row for row in held if not _is_closed(row)]
         self._protocols.append(protocol)
@@ -867,7 +920,7 @@
 
 
 def _open_channel(address: Endpoint) -> Channel:
-    return Channel(address.host, address.port, config=_H2_OPTIONS)
+    return _Channel(address.host, address.port, config=_H2_OPTIONS)
 
 
 async def _read_request(
@@ -880,13 +933,15 @@
             return await _read_bounded(stream._stream, limit_bytes)
     except TimeoutError as error:
         counters.add('peer.slow')
-        raise GRPCError(Status.DEADLINE_EXCEEDED, 'request is not complete') from error
+        raise exceptions.GRPCError(
+            Status.DEADLINE_EXCEEDED, 'request is not complete'
+        ) from error
     except ValueError as error:
         counters.add('peer.oversized')
-        raise GRPCError(Status.RESOURCE_EXHAUSTED, str(error)) from error
+        raise exceptions.GRPCError(Status.RESOURCE_EXHAUSTED, str(error)) from error
     except DecodeError as error:
         counters.add('peer.malformed')
-        raise GRPCError(Status.INVALID_ARGUMENT, 'malformed') from error
+        raise exceptions.GRPCError(Status.INVALID_ARGUMENT, 'malformed') from error
 
 
 async def _call_bounded(
@@ -900,7 +955,7 @@
         try:
             answer = await _read_bounded(stream._stream, limit_bytes)
         except (ValueError, DecodeError) as error:
-            raise ProtocolError(f'unusable answer: {error}') from error
+            raise exceptions.ProtocolError(f'unusable answer: {error}') from error
         await stream.recv_trailing_metadata()
         return answer
 
@@ -910,7 +965,7 @@
     # length is checked here first.
     header = await stream.recv_data(FRAME_HEADER.size)
     if len(header) < FRAME_HEADER.size:
-        raise ProtocolError('no message')
+        raise exceptions.ProtocolError('no message')
     is_compressed, length = FRAME_HEADER.unpack(header)
     if is_compressed or length > limit_bytes:
         raise ValueError(f'message of {length} bytes, at most {limit_bytes} allowed')
--- a/src/cardamomtiller/reader.py
+++ b/src/cardamomtiller/reader.py
@@ -29,6 +29,7 @@
 LARGEST_BACKOFF_MS = 15_000.0
 # A watch that is answered too early is not repeated at once.
 SHORTEST_WATCH_MS = 100.0
+FIRST_WATCH_MS = 2_000.0
 FINDINGS_KEPT = 100
 
 
@@ -217,6 +218,7 @@
         self._random = random.Random(seed)
         self._revision = Version(-1)
         self._backoff_ms = FIRST_BACKOFF_MS
+        self._watch_ms = FIRST_WATCH_MS
         self._source_findings: dict[str, Finding] = {}
         self.last_success_ms: float | None = None
 
@@ -238,7 +240,7 @@
             if role is Role.POLLER:
                 await self._sleep(self._spread(self._options.poll_interval_ms))
                 role = self._role()
-            wait_ms = self._options.watch_wait_ms if role is Role.WATCHER else 0
+            wait_ms = self._next_wait_ms() if role is Role.WATCHER else 0
             began_ms = self._clock_ms()
             is_read = await self.read_once(wait_ms)
             if not is_read:
@@ -307,6 +309,13 @@
         await self._sleep(self._random.uniform(self._backoff_ms / 2, self._backoff_ms))
         self._backoff_ms = min(2 * self._backoff_ms, LARGEST_BACKOFF_MS)
 
+    def _next_wait_ms(self) -> float:
+        # At its start an instance sees nobody else and takes itself for a
+        # watcher, so the first watches are short.
+        wait_ms = min(self._watch_ms, self._options.watch_wait_ms)
+        self._watch_ms = 2 * wait_ms
+        return wait_ms
+
     def _spread(self, interval_ms: float) -> float:
         return interval_ms * self._random.uniform(0.5, 1)
 
--- a/tools/live_fleet.py
+++ b/tools/live_fleet.py
@@ -255,4 +255,6 @@
     protocol = getattr(channel, '_protocol', None)
     connection = getattr(protocol, 'connection', None)
     transport = getattr(connection, '_transport', None)
+    # The peer puts a transport that gathers writes in front of the real one.
+    transport = getattr(transport, '_transport', transport)
     return transport.get_extra_info('socket') if transport is not None else None
