Use a hash that is not linear for the table checksum; be late until tables agree

Cause: the XOR of CRCs cancels when the same change happens in two rows, so two peers that differed in two deaths took their tables for equal. Change: BLAKE2b of 4 bytes per row. A late instance also waits until its table agrees with that of the peer, its own refutation left aside.

--- a/src/cardamomtiller/membership.py
+++ b/src/cardamomtiller/membership.py
@@ -1,8 +1,8 @@
 """Membership: which instances are alive, decided without I/O."""
 
+import hashlib
 import math
 import random
-import zlib
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -41,6 +41,7 @@
 INCARNATION_RANDOM_BITS = 20
 # Peers may still address this process by a number that it has raised.
 INCARNATIONS_KEPT = 4
+CHECKSUM_BYTES = 4
 UNHEARD = Incarnation(0)
 LARGEST_INCARNATION = 1 << 62
 LARGEST_REVISION = 1 << 31
@@ -166,8 +167,7 @@
     def checksum(self) -> int:
         if not self.is_heard_of or not self.is_published:
             return 0
-        text = f'{self.row.name} {self.incarnation} {self.revision} {self.state.value}'
-        return zlib.crc32(text.encode())
+        return _rumor_checksum(self.rumor())
 
     def rumor(self) -> MemberRumor:
         return MemberRumor(
@@ -184,6 +184,14 @@
     return is_revision_valid and 0 < rumor.incarnation < LARGEST_INCARNATION
 
 
+def _rumor_checksum(rumor: MemberRumor) -> int:
+    # Not a CRC: it is linear, so that the same change in two rows would cancel.
+    numbers = f'{rumor.incarnation} {rumor.revision} {rumor.state}'
+    text = f'{rumor.instance} {numbers}'
+    digest = hashlib.blake2b(text.encode(), digest_size=CHECKSUM_BYTES)
+    return int.from_bytes(digest.digest(), 'big')
+
+
 def _wire_state(state: InstanceState) -> WireState.ValueType:
     return WireState.ValueType(state.value)
 
@@ -305,8 +313,9 @@
         Return whether this instance must not use its authority now.
 
         It is late from its start, or from a gap in its calls longer than
-        ``late_wake_ms``, until an exchange with a live peer succeeds that was
-        sent later, or until no peer was reachable for ``alone_ms``.
+        ``late_wake_ms``, until an exchange succeeds that was sent later and
+        after which both tables are the same, or until ``alone_ms`` have passed
+        without one: then it serves with what it knows.
         """
         if now_ms - self._last_call_ms > self.options.late_wake_ms:
             return True
@@ -412,15 +421,20 @@
         if sender in self._records:
             self._peer_checksums[sender] = delta.table_checksum
             self._met_ms.setdefault(sender, now_ms)
+        # What the sender's table says about this instance, as far as it is told.
+        about_self = self._own.checksum()
         for rumor in delta.rumors[:RUMORS_PER_MESSAGE]:
             state = _STATES.get(rumor.state)
             if state is None or not _is_in_range(rumor):
                 self.counters.add('membership.malformed_rumor')
             elif rumor.instance == self.name:
+                about_self = _rumor_checksum(rumor)
                 self._refute(rumor, state, now_ms)
             else:
                 self._adopt(rumor, state, now_ms)
-        if delta.table_checksum == self._checksum:
+        # A refutation that the sender could not know of yet is no difference.
+        others = self._checksum ^ self._own.checksum()
+        if delta.table_checksum ^ about_self == others:
             self._differing.discard(sender)
         elif sender in self._records:
             self._differing.add(sender)
@@ -460,7 +474,8 @@
             record.failures = 0
             record.is_observer = False
         since_ms = self._late_since_ms
-        if since_ms is not None and sent_ms >= since_ms:
+        is_agreed = target not in self._differing
+        if since_ms is not None and sent_ms >= since_ms and is_agreed:
             self._late_since_ms = None
 
     def probe_failed(
@@ -472,7 +487,8 @@
         """
         Take note that an exchange sent at ``sent_ms`` was not answered.
 
-        A late instance draws no conclusion, because the failure may be its own.
+        Nothing follows from one that was sent before this instance was late,
+        because the failure may be its own.
         """
         self._advance(now_ms)
         record = self._records.get(target)
--- a/tests/features/membership.feature
+++ b/tests/features/membership.feature
@@ -17,8 +17,9 @@
 
   Scenario: An instance that resumes late does not use its authority
     Given a converged fleet of 9 instances
-    When one instance is paused for 20 s
+    When one instance is paused for 20 s and another dies meanwhile
     Then it is late when it resumes, until one exchange has succeeded
+    And it then knows of the death
     And a membership that ignores gaps is not late when it resumes
 
   Scenario: An instance without any reachable peer serves its own failure domain
@@ -50,6 +51,9 @@
     Then each side counts exactly its own instances as serving
     And after the partition all agree within 5000 ms
 
+  Scenario: The same change in two rows of a table shows in its checksum
+    Then tables in which any two instances died have different checksums
+
   Scenario: Arbitrary rumours raise no error and name no unknown instance
     Then 300 arbitrary deltas are merged or ignored
 
@@ -59,3 +63,6 @@
 
   Scenario: Upstreams of a failure domain without instances are owned by their region
     Then owners come from the failure domain, else the region, else any
+
+  Scenario: The embedding example of the documentation runs
+    Then the example in docs/membership.md prints the owners it states
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -1,8 +1,12 @@
 """Steps for membership and owners, under a driven clock."""
 
+import contextlib
+import io
+import itertools
 import math
 import random
 from dataclasses import replace
+from pathlib import Path
 
 from behave import given, then, when
 from hypothesis import given as hypothesis_given
@@ -216,10 +220,12 @@
     context.name = NAMES[4]
 
 
-@when('one instance is paused for 20 s')
+@when('one instance is paused for 20 s and another dies meanwhile')
 def pause_one(context):
     context.model.pause(context.name, 20_000)
-    context.model.run(20_000)
+    context.model.run(3000)
+    context.model.kill(NAMES[7])
+    context.model.run(17_000)
 
 
 @then('it is late when it resumes, until one exchange has succeeded')
@@ -234,6 +240,13 @@
     assert node.counters.count('peer.exchanged') > before
 
 
+@then('it then knows of the death')
+def check_knows(context):
+    view = context.model.nodes[context.name].membership.current_view()
+    assert view.members[NAMES[7]].state is InstanceState.DEAD
+    assert NAMES[7] not in view.serving_all()
+
+
 @then('a membership that ignores gaps is not late when it resumes')
 def check_gap_blind(context):
     model = converge(node_class=GapBlind)
@@ -389,6 +402,22 @@
     assert took_ms is not None
 
 
+@then('tables in which any two instances died have different checksums')
+def check_checksums(context):
+    rows = make_rows(9, 4)
+    found = set()
+    for pair in itertools.combinations_with_replacement(NAMES[1:], 2):
+        node = Membership(rows[0], DEFAULTS, 5, 0.0)
+        node.set_published(rows, 0.0)
+        delta = MembershipDelta()
+        for name in NAMES[1:]:
+            state = InstanceState.DEAD if name in pair else InstanceState.LIVE
+            delta.rumors.add(instance=name, incarnation=7, state=state.value)
+        node.merge(NAMES[1], delta, 0.0)
+        found.add(node.digest(NAMES[1], 0.0).table_checksum)
+    assert len(found) == 8 + 8 * 7 / 2, len(found)
+
+
 @then('300 arbitrary deltas are merged or ignored')
 def fuzz_deltas(context):
     model = converge(4, 2)
@@ -516,3 +545,14 @@
     )
     assert set(table.owners(upstreams, view).values()) == {far}
     assert not table.owners(upstreams, View())
+
+
+@then('the example in docs/membership.md prints the owners it states')
+def check_example(context):
+    text = (Path(__file__).parents[3] / 'docs' / 'membership.md').read_text()
+    code = text.split('```python\n')[1].split('```')[0]
+    stated = text.split('```text\n')[1].split('```')[0]
+    printed = io.StringIO()
+    with contextlib.redirect_stdout(printed):
+        exec(compile(code, 'docs/membership.md', 'exec'), {'__name__': 'example'})
+    assert printed.getvalue() == stated, printed.getvalue()
--- a/tools/live_fleet.py
+++ b/tools/live_fleet.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import time
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, fields, replace
 
@@ -102,7 +103,7 @@
             self.role,
             clock_ms,
             self.counters,
-            seed=hash(row.name),
+            seed=zlib.crc32(row.name.encode()),
         )
         self.peer = Peer(
             PeerOptions(row.peer_address, (KEY,), options.probe_timeout_ms),
