Send the whole table only to a peer that differs for longer than two intervals

Change: the time counts per peer since its table first differed, and a peer that was suspected or dead counts as new. Conclusion: late instances still learn all they missed in the first exchange.

--- a/src/cardamomtiller/membership.py
+++ b/src/cardamomtiller/membership.py
@@ -65,6 +65,7 @@
     InstanceState.SUSPECT: 3,
     InstanceState.DEAD: 4,
 }
+_DOUBTED = frozenset((InstanceState.SUSPECT, InstanceState.DEAD))
 _STATES = {state.value: state for state in InstanceState}
 
 
@@ -267,11 +268,11 @@
         self.own_incarnations: tuple[Incarnation, ...] = (incarnation,)
         self._records: dict[InstanceId, _Record] = {row.name: self._own}
         self._checksum = 0
-        self._changed_ms = now_ms
         self._met_ms: dict[InstanceId, float] = {}
         self._peer_checksums: dict[InstanceId, int] = {}
-        # Peers whose table still differed after their last message was merged.
-        self._differing: set[InstanceId] = set()
+        # Peers whose table still differed after their last message was merged,
+        # and since when.
+        self._differing: dict[InstanceId, float] = {}
         self._pending: dict[InstanceId, int] = {}
         self._fill_cursor = self._random.randrange(1 << 16)
         self._topology = _Topology(row, options)
@@ -354,7 +355,6 @@
             self._checksum ^= self._own.checksum()
             self._own.is_published = False
         self._topology.set_rows(published.values())
-        self._changed_ms = now_ms
         self._is_changed = True
         self._refresh_view()
 
@@ -421,6 +421,9 @@
         if sender in self._records:
             self._peer_checksums[sender] = delta.table_checksum
             self._met_ms.setdefault(sender, now_ms)
+            if self._records[sender].state in _DOUBTED:
+                # It was away and may have missed changes, as a new peer has.
+                self._met_ms[sender] = now_ms
         # What the sender's table says about this instance, as far as it is told.
         about_self = self._own.checksum()
         for rumor in delta.rumors[:RUMORS_PER_MESSAGE]:
@@ -435,9 +438,9 @@
         # A refutation that the sender could not know of yet is no difference.
         others = self._checksum ^ self._own.checksum()
         if delta.table_checksum ^ about_self == others:
-            self._differing.discard(sender)
+            self._differing.pop(sender, None)
         elif sender in self._records:
-            self._differing.add(sender)
+            self._differing.setdefault(sender, now_ms)
         self._refresh_view()
 
     def correct(
@@ -454,7 +457,7 @@
         record = self._records.get(sender)
         if record is None or not record.is_heard_of:
             return None
-        is_doubted = record.state in {InstanceState.SUSPECT, InstanceState.DEAD}
+        is_doubted = record.state in _DOUBTED
         if record.incarnation > incarnation or (
             is_doubted and record.incarnation == incarnation
         ):
@@ -624,23 +627,19 @@
     def _note_change(self, record: _Record, now_ms: float) -> None:
         doublings = len(self._records).bit_length()
         self._pending[record.row.name] = SENDS_PER_DOUBLING * doublings
-        self._changed_ms = now_ms
         self._is_changed = True
 
     def _forget(self, name: InstanceId) -> None:
         self._checksum ^= self._records.pop(name).checksum()
         self._suspects.discard(name)
-        self._differing.discard(name)
+        self._differing.pop(name, None)
         for table in (self._pending, self._peer_checksums, self._met_ms, self._due_ms):
             table.pop(name, None)
 
     def _choose_rumors(self, target: InstanceId, now_ms: float) -> list[InstanceId]:
         chosen: dict[InstanceId, None] = {self.name: None}
         about_target = self._records.get(target)
-        if about_target is not None and about_target.state in {
-            InstanceState.SUSPECT,
-            InstanceState.DEAD,
-        }:
+        if about_target is not None and about_target.state in _DOUBTED:
             chosen[target] = None
         for name in sorted(self._pending, key=self._pending.__getitem__, reverse=True):
             if len(chosen) >= RUMORS_PER_MESSAGE:
@@ -654,12 +653,13 @@
         return [name for name in chosen if self._records[name].is_heard_of]
 
     def _needs_fill(self, target: InstanceId, now_ms: float) -> bool:
-        if target not in self._differing:
+        since_ms = self._differing.get(target)
+        if since_ms is None:
             return False
-        settled_ms = now_ms - self._changed_ms
+        # A difference that has lasted is no change that is still on its way.
+        is_lasting = now_ms - since_ms > 2 * self.options.probe_interval_ms
         met_ms = now_ms - self._met_ms.get(target, now_ms)
-        is_settled = settled_ms > 2 * self.options.probe_interval_ms
-        return is_settled or met_ms < NEW_PEER_MS
+        return is_lasting or met_ms < NEW_PEER_MS
 
     def _fill(self, chosen: dict[InstanceId, None]) -> None:
         names = list(self._records)
