--- a/src/cardamomtiller/membership.py
+++ b/src/cardamomtiller/membership.py
@@ -1,8 +1,8 @@
 """Membership: which instances are alive, decided without I/O."""
 
+import hashlib
 import math
 import random
-import zlib
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -41,7 +41,10 @@
 INCARNATION_RANDOM_BITS = 20
 # Peers may still address this process by a number that it has raised.
 INCARNATIONS_KEPT = 4
+CHECKSUM_BYTES = 4
 UNHEARD = Incarnation(0)
+LARGEST_INCARNATION = 1 << 62
+LARGEST_REVISION = 1 << 31
 
 
 class InstanceState(Enum):
@@ -62,6 +65,7 @@
     InstanceState.SUSPECT: 3,
     InstanceState.DEAD: 4,
 }
+_DOUBTED = frozenset((InstanceState.SUSPECT, InstanceState.DEAD))
 _STATES = {state.value: state for state in InstanceState}
 
 
@@ -164,8 +168,7 @@
     def checksum(self) -> int:
         if not self.is_heard_of or not self.is_published:
             return 0
-        text = f'{self.row.name} {self.incarnation} {self.revision} {self.state.value}'
-        return zlib.crc32(text.encode())
+        return _rumor_checksum(self.rumor())
 
     def rumor(self) -> MemberRumor:
         return MemberRumor(
@@ -176,6 +179,20 @@
         )
 
 
+def _is_in_range(rumor: MemberRumor) -> bool:
+    # Both numbers are raised by one in a refutation and must still fit then.
+    is_revision_valid = rumor.revision < LARGEST_REVISION
+    return is_revision_valid and 0 < rumor.incarnation < LARGEST_INCARNATION
+
+
+def _rumor_checksum(rumor: MemberRumor) -> int:
+    # Not a CRC: it is linear, so that the same change in two rows would cancel.
+    numbers = f'{rumor.incarnation} {rumor.revision} {rumor.state}'
+    text = f'{rumor.instance} {numbers}'
+    digest = hashlib.blake2b(text.encode(), digest_size=CHECKSUM_BYTES)
+    return int.from_bytes(digest.digest(), 'big')
+
+
 def _wire_state(state: InstanceState) -> WireState.ValueType:
     return WireState.ValueType(state.value)
 
@@ -251,11 +268,11 @@
         self.own_incarnations: tuple[Incarnation, ...] = (incarnation,)
         self._records: dict[InstanceId, _Record] = {row.name: self._own}
         self._checksum = 0
-        self._changed_ms = now_ms
         self._met_ms: dict[InstanceId, float] = {}
         self._peer_checksums: dict[InstanceId, int] = {}
-        # Peers whose table still differed after their last message was merged.
-        self._differing: set[InstanceId] = set()
+        # Peers whose table still differed after their last message was merged,
+        # and since when.
+        self._differing: dict[InstanceId, float] = {}
         self._pending: dict[InstanceId, int] = {}
         self._fill_cursor = self._random.randrange(1 << 16)
         self._topology = _Topology(row, options)
@@ -297,8 +314,9 @@
         Return whether this instance must not use its authority now.
 
         It is late from its start, or from a gap in its calls longer than
-        ``late_wake_ms``, until an exchange with a live peer succeeds that was
-        sent later, or until no peer was reachable for ``alone_ms``.
+        ``late_wake_ms``, until an exchange succeeds that was sent later and
+        after which both tables are the same, or until ``alone_ms`` have passed
+        without one: then it serves with what it knows.
         """
         if now_ms - self._last_call_ms > self.options.late_wake_ms:
             return True
@@ -337,7 +355,6 @@
             self._checksum ^= self._own.checksum()
             self._own.is_published = False
         self._topology.set_rows(published.values())
-        self._changed_ms = now_ms
         self._is_changed = True
         self._refresh_view()
 
@@ -404,18 +421,26 @@
         if sender in self._records:
             self._peer_checksums[sender] = delta.table_checksum
             self._met_ms.setdefault(sender, now_ms)
+            if self._records[sender].state in _DOUBTED:
+                # It was away and may have missed changes, as a new peer has.
+                self._met_ms[sender] = now_ms
+        # What the sender's table says about this instance, as far as it is told.
+        about_self = self._own.checksum()
         for rumor in delta.rumors[:RUMORS_PER_MESSAGE]:
             state = _STATES.get(rumor.state)
-            if state is None or not rumor.incarnation:
+            if state is None or not _is_in_range(rumor):
                 self.counters.add('membership.malformed_rumor')
             elif rumor.instance == self.name:
+                about_self = _rumor_checksum(rumor)
                 self._refute(rumor, state, now_ms)
             else:
                 self._adopt(rumor, state, now_ms)
-        if delta.table_checksum == self._checksum:
-            self._differing.discard(sender)
+        # A refutation that the sender could not know of yet is no difference.
+        others = self._checksum ^ self._own.checksum()
+        if delta.table_checksum ^ about_self == others:
+            self._differing.pop(sender, None)
         elif sender in self._records:
-            self._differing.add(sender)
+            self._differing.setdefault(sender, now_ms)
         self._refresh_view()
 
     def correct(
@@ -432,7 +457,7 @@
         record = self._records.get(sender)
         if record is None or not record.is_heard_of:
             return None
-        is_doubted = record.state in {InstanceState.SUSPECT, InstanceState.DEAD}
+        is_doubted = record.state in _DOUBTED
         if record.incarnation > incarnation or (
             is_doubted and record.incarnation == incarnation
         ):
@@ -452,7 +477,8 @@
             record.failures = 0
             record.is_observer = False
         since_ms = self._late_since_ms
-        if since_ms is not None and sent_ms >= since_ms:
+        is_agreed = target not in self._differing
+        if since_ms is not None and sent_ms >= since_ms and is_agreed:
             self._late_since_ms = None
 
     def probe_failed(
@@ -464,7 +490,8 @@
         """
         Take note that an exchange sent at ``sent_ms`` was not answered.
 
-        A late instance draws no conclusion, because the failure may be its own.
+        Nothing follows from one that was sent before this instance was late,
+        because the failure may be its own.
         """
         self._advance(now_ms)
         record = self._records.get(target)
@@ -600,23 +627,19 @@
     def _note_change(self, record: _Record, now_ms: float) -> None:
         doublings = len(self._records).bit_length()
         self._pending[record.row.name] = SENDS_PER_DOUBLING * doublings
-        self._changed_ms = now_ms
         self._is_changed = True
 
     def _forget(self, name: InstanceId) -> None:
         self._checksum ^= self._records.pop(name).checksum()
         self._suspects.discard(name)
-        self._differing.discard(name)
+        self._differing.pop(name, None)
         for table in (self._pending, self._peer_checksums, self._met_ms, self._due_ms):
             table.pop(name, None)
 
     def _choose_rumors(self, target: InstanceId, now_ms: float) -> list[InstanceId]:
         chosen: dict[InstanceId, None] = {self.name: None}
         about_target = self._records.get(target)
-        if about_target is not None and about_target.state in {
-            InstanceState.SUSPECT,
-            InstanceState.DEAD,
-        }:
+        if about_target is not None and about_target.state in _DOUBTED:
             chosen[target] = None
         for name in sorted(self._pending, key=self._pending.__getitem__, reverse=True):
             if len(chosen) >= RUMORS_PER_MESSAGE:
@@ -630,12 +653,13 @@
         return [name for name in chosen if self._records[name].is_heard_of]
 
     def _needs_fill(self, target: InstanceId, now_ms: float) -> bool:
-        if target not in self._differing:
+        since_ms = self._differing.get(target)
+        if since_ms is None:
             return False
-        settled_ms = now_ms - self._changed_ms
+        # A difference that has lasted is no change that is still on its way.
+        is_lasting = now_ms - since_ms > 2 * self.options.probe_interval_ms
         met_ms = now_ms - self._met_ms.get(target, now_ms)
-        is_settled = settled_ms > 2 * self.options.probe_interval_ms
-        return is_settled or met_ms < NEW_PEER_MS
+        return is_lasting or met_ms < NEW_PEER_MS
 
     def _fill(self, chosen: dict[InstanceId, None]) -> None:
         names = list(self._records)
