--- a/tests/features/steps/standins_steps.py
+++ b/tests/features/steps/standins_steps.py
@@ -101,10 +101,10 @@
 
 @given('a stand-in upstream with {slots:d} slots')
 def start_upstream(context, slots):
-    context.standin = Upstream('u', 'desk', Behaviour(slots=slots))
     context.standin_port = Ports().take()
 
     async def start():
+        context.standin = Upstream('u', 'desk', Behaviour(slots=slots))
         serve = context.standin.serve_link
         await asyncio.start_server(serve, LOOPBACK, context.standin_port)
         context.standin_timers = asyncio.create_task(context.standin.run_timers())
@@ -113,10 +113,10 @@
     context.link = complete(context, start())
 
 
-@when('its link opens a flow under generations 2, 2, 1 and 3')
+@when('its link opens a flow under generations 1, 1, 3 and 2')
 def open_generations(context):
     async def run():
-        for generation in (2, 2, 1, 3):
+        for generation in (1, 1, 3, 2):
             context.link.open_flow(generation)
             yield (await context.link.expect('flow_opened')).flow_opened
 
@@ -126,11 +126,18 @@
     context.opened = complete(context, collect())
 
 
-@then('the stand-in grants, refuses, refuses and grants the flow')
+@then('the stand-in grants, refuses, grants and refuses the flow')
 def check_grants(context):
     stale = REASON_STALE_GENERATION
-    assert [row.refusal for row in context.opened] == [0, stale, stale, 0]
-    assert context.opened[1].held_generation == 2
+    assert [row.refusal for row in context.opened] == [0, stale, 0, stale]
+    assert context.opened[3].held_generation == 3
+
+
+@then('an unknown flow under generation 2 is refused as unknown')
+def check_unknown_open(context):
+    context.link.open_flow(2, b'g' * 16)
+    opened = complete(context, context.link.expect('flow_opened')).flow_opened
+    assert opened.refusal == REASON_UNKNOWN_FLOW
 
 
 @then('a request under generation 2 is shed as stale and never run')
@@ -474,7 +481,9 @@
     async def run():
         server = await asyncio.start_server(echo_stream, LOOPBACK, port)
         _, writer = await asyncio.open_connection(LOOPBACK, port)
-        label = network.label_stream(writer.get_extra_info('sockname'))
+        label = network.label_stream(
+            writer.get_extra_info('peername'), writer.get_extra_info('sockname')
+        )
         writer.close()
         server.close()
         return label
