--- a/src/cardamomtiller/lease.py
+++ b/src/cardamomtiller/lease.py
@@ -14,7 +14,7 @@
 )
 from cardamomtiller.catalog import Catalog
 from cardamomtiller.grantor import Grantor, Pool, Vectors
-from cardamomtiller.holder import Holder, Shares, write_demands
+from cardamomtiller.holder import Holder, Shares
 from cardamomtiller.identity import CustomerId, DomainName, Incarnation, InstanceId
 from cardamomtiller.peer_pb2 import LeaseGrant, LeaseReport
 from cardamomtiller.settings_pb2 import LeaseSettings
@@ -22,7 +22,10 @@
 ROOT_SCOPE = 'root'
 DOMAIN_SCOPE_PREFIX = 'domain/'
 # Reports per silence, so that one lost report does not end a pledge.
-REPORTS_PER_SILENCE = 2.5
+REPORTS_PER_SILENCE = 3
+# First wait for an answer before the report is repeated; it doubles up to the
+# regular interval.
+RETRY_MS = 150.0
 # Interval of urgent reports; it doubles up to the regular one, so that a
 # customer that stays at its limit does not raise the control traffic.
 URGENT_INTERVAL_MS = 25.0
@@ -30,6 +33,8 @@
 # A grantor gives nothing out of leases of its own that end sooner than this
 # part of a lease, because every share would end with them.
 LEAST_REST = 0.25
+# Floors remembered; published numbers that are gone must not fill the memory.
+PARTS_KEPT = 10_000
 
 
 class _Schedule:
@@ -40,7 +45,14 @@
         self._interval_ms = interval_ms
         self._urgent_interval_ms = URGENT_INTERVAL_MS
         self._last_ms = -math.inf
+        self._retry_ms = RETRY_MS
         self._is_urgent = False
+        self._is_answered = True
+
+    def answered(self) -> None:
+        """Note an answer to the last report."""
+        self._is_answered = True
+        self._retry_ms = RETRY_MS
 
     def request(self, *, is_new: bool) -> None:
         """Shorten the wait; new needs start again at the shortest interval."""
@@ -50,10 +62,12 @@
 
     def next_ms(self) -> float:
         """Return the time of the next report."""
+        interval_ms = self._interval_ms
         if self._is_urgent:
-            interval_ms = min(self._urgent_interval_ms, self._interval_ms)
-            return self._last_ms + interval_ms
-        return self._last_ms + self._interval_ms
+            interval_ms = min(interval_ms, self._urgent_interval_ms)
+        if not self._is_answered:
+            interval_ms = min(interval_ms, self._retry_ms)
+        return self._last_ms + interval_ms
 
     def is_due(self, now_ms: float) -> bool:
         """Tell whether a report is due."""
@@ -62,6 +76,9 @@
     def sent(self, now_ms: float) -> None:
         """Note that a report was sent."""
         self._last_ms = now_ms
+        if not self._is_answered:
+            self._retry_ms = min(self._retry_ms * URGENT_GROWTH, self._interval_ms)
+        self._is_answered = False
         if self._is_urgent:
             longer_ms = self._urgent_interval_ms * URGENT_GROWTH
             self._urgent_interval_ms = min(longer_ms, self._interval_ms)
@@ -120,6 +137,8 @@
         wait_ms = self._times.reclaim_ms if start_wait_ms is None else start_wait_ms
         self._started_ms = now_ms + wait_ms
         self._plans: dict[CustomerId, Allowance] = {}
+        # Kept and pledged parts of floors, by customer and published number.
+        self._parts: dict[tuple[CustomerId, int], tuple[Allowance, Allowance]] = {}
         self._division: _Division | None = None
         self._demands: Vectors = {}
         self._uses: Vectors = {}
@@ -151,6 +170,7 @@
         for holder in (self._holder, self._upper):
             holder.scale(factors)
         self._plans = plans
+        self._parts.clear()
         self.generation += 1
 
     def set_view(
@@ -202,7 +222,9 @@
         if self._upper_schedule.is_due(now_ms) and self._upper.grantor is not None:
             self._upper_schedule.sent(now_ms)
             report = self._make_upper_report(now_ms)
-            if report is not None:
+            if report is None:
+                self._upper_schedule.answered()
+            else:
                 yield from self._deliver(self._upper, report, now_ms)
 
     def handle_report(self, report: LeaseReport, now_ms: float) -> LeaseGrant:
@@ -223,9 +245,10 @@
         if not holder.accept(grant, now_ms):
             return
         self.generation += 1
+        schedule = self._upper_schedule if is_upper else self._schedule
+        schedule.answered()
         if holder.is_smaller_than(before):
             # Another holder can grow only after this one has confirmed.
-            schedule = self._upper_schedule if is_upper else self._schedule
             schedule.request(is_new=False)
 
     def share_until(
@@ -237,7 +260,8 @@
         It may change earlier when ``generation`` changes.
         """
         plan = self._plans.get(customer)
-        if plan is None:
+        if plan is None or self._division is None:
+            # Without the published number the floor is unknown.
             return NOTHING, math.inf
         self._settle_count(now_ms)
         kept, rest = self._floor_parts(customer)
@@ -260,6 +284,10 @@
         """Return what the plan allows over all instances together."""
         return self._plans.get(customer, NOTHING)
 
+    def grantors(self) -> tuple[InstanceId | None, InstanceId | None]:
+        """Return the grantors of the own domain and of all domains."""
+        return self._holder.grantor, self._upper.grantor
+
     def _make_holder(self, scope: str, reclaim_ms: float) -> Holder:
         return Holder(scope, self._own, self._incarnation, self._times, reclaim_ms)
 
@@ -284,7 +312,7 @@
         if was_free and not self._holder.is_free(now_ms):
             self.generation += 1
         held = dict(self._held(now_ms))
-        return write_demands(report, self._demands, held)
+        return self._holder.write_demands(report, self._demands, held)
 
     def _held(self, now_ms: float) -> Iterator[tuple[CustomerId, Allowance]]:
         """Iterate over the use beyond the share, as the grantor sees it."""
@@ -307,7 +335,8 @@
             return None
         published = max(self._count(), *grantor.published_counts(), 1)
         report = self._upper.report(floors, published, now_ms)
-        return write_demands(report, demands, dict(self._upper_held(now_ms)))
+        held = dict(self._upper_held(now_ms))
+        return self._upper.write_demands(report, demands, held)
 
     def _upper_held(self, now_ms: float) -> Iterator[tuple[CustomerId, Allowance]]:
         direct_parts = tuple(self._upper_parts(now_ms, 0))
@@ -383,9 +412,13 @@
         self, customer: CustomerId, count: int = 0
     ) -> tuple[Allowance, Allowance]:
         """Return the kept and the pledged part of a floor."""
-        floor = self.plan(customer).scaled(1 / (count or self._count()))
-        kept = kept_part(floor, self._reserved_share)
-        return kept, floor - kept
+        key = (customer, count or self._count())
+        parts = self._parts.get(key)
+        if parts is None:
+            floor = self.plan(customer).scaled(1 / key[1])
+            kept = kept_part(floor, self._reserved_share)
+            parts = self._parts[key] = (kept, floor - kept)
+        return parts
 
     def _own_floors(self, now_ms: float) -> tuple[int, float]:
         if now_ms < self._started_ms:
@@ -407,6 +440,8 @@
         return self._division.count if self._division else 1
 
     def _set_count(self, count: int, now_ms: float) -> None:
+        if len(self._parts) > PARTS_KEPT:
+            self._parts.clear()
         division = self._division
         if division is None or count >= division.count:
             self._division = _Division(count, count, now_ms)
