--- a/tests/features/live_paths.feature
+++ b/tests/features/live_paths.feature
@@ -26,3 +26,9 @@
       | at_s | action                                                     |
       | 0    | rule fabric bad loss=0.1 duplicate=0.2 reorder=0.2         |
     Then every invariant holds
+
+  Scenario: Opens that are sent again over a slow path open no flow on two upstreams
+    When a live deployment runs through these events
+      | at_s | action                          |
+      | 0    | rule fabric slow delay_ms=150   |
+    Then every invariant holds
--- a/tests/features/steps/live_steps.py
+++ b/tests/features/steps/live_steps.py
@@ -17,6 +17,7 @@
 ZERO = (
     'flows_broken',
     'flows_stuck',
+    'flows_on_two_upstreams',
     'misrouted',
     'run_twice',
     'false_not_run',
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import signal
+from collections import Counter
 from collections.abc import Coroutine, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -558,6 +559,15 @@
         pairs = answer['stream_bytes'] if isinstance(answer, dict) else {}
         return {str(pair): int(size) for pair, size in pairs.items()}
 
+    async def flows_opened_twice(self) -> list[str]:
+        """Return the flows that were opened on more than one upstream."""
+        counted: Counter[str] = Counter()
+        for name, upstream in self.upstreams.items():
+            if name in self.processes.running:
+                answer = await call_admin(upstream.admin, 'GET', '/opened')
+                counted.update(answer if isinstance(answer, list) else [])
+        return [flow for flow, count in counted.items() if count > 1]
+
     async def upstream_stats(self) -> dict[str, dict[str, object]]:
         """Return the counters of every upstream that answers."""
         found: dict[str, dict[str, object]] = {}
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -13,6 +13,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 PR_SET_PDEATHSIG = 1
+# Place of the user time in /proc/PID/stat, after the name of the process.
+UTIME_WORD = 11
 END_TIMEOUT_S = 3
 # Below the range from which the kernel takes ports of outgoing connections.
 FIRST_PORT = 20_000
@@ -116,6 +118,17 @@
         path = self.folder / f'{name}.log'
         return path.read_text(errors='replace') if path.exists() else ''
 
+    def cpu_s(self) -> dict[str, float]:
+        """Return the processor time of each running process."""
+        used: dict[str, float] = {}
+        for name, process in self.running.items():
+            path = Path(f'/proc/{process.pid}/stat')
+            if path.exists():
+                words = path.read_text().rpartition(')')[2].split()
+                ticks = int(words[UTIME_WORD]) + int(words[UTIME_WORD + 1])
+                used[name] = ticks / os.sysconf('SC_CLK_TCK')
+        return used
+
     def end_all(self) -> None:
         """End every process that still runs."""
         for process in self.running.values():
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -50,6 +50,7 @@
     events: list[str] = field(default_factory=list)
     log_errors: list[str] = field(default_factory=list)
     counters: dict[str, int] = field(default_factory=dict)
+    cpu_s: dict[str, float] = field(default_factory=dict)
 
 
 class Scenario:
@@ -286,6 +287,8 @@
 
     async def _collect(self) -> Outcome:
         stats = await self.deployment.upstream_stats()
+        for flow in await self.deployment.flows_opened_twice():
+            self.record.fault('flows_on_two_upstreams', flow)
         outcome = Outcome(self.plan.name)
         outcome.events = self.events
         outcome.faults = self.record.faults
@@ -310,6 +313,7 @@
         )
         outcome.log_errors = self._log_errors()
         outcome.counters = await self._sum_counters()
+        outcome.cpu_s = {'callers': time.process_time(), **self.processes.cpu_s()}
         return outcome
 
     def _is_excused(self, row: Break) -> bool:
@@ -333,6 +337,7 @@
             'opens_refused': counts['open_refused'],
             'open_p99_ms': percentile(self.record.open_ms, 0.99),
             'pushes': counts['pushes'],
+            'flows_on_two_upstreams': counts['flows_on_two_upstreams'],
             'foreign_pushes': counts['foreign_pushes'],
             'read_your_writes': counts['read_your_writes'],
             'stale_reads': counts['stale_reads'],
--- a/tools/standins/upstream.py
+++ b/tools/standins/upstream.py
@@ -149,6 +149,7 @@
         self.log_fd: int | None = None
         self._random = random.Random(f'{seed} {name}')
         self._seen: set[tuple[bytes, int]] = set()
+        self._opened: set[bytes] = set()
         self._running: dict[asyncio.Task[None], tuple[bytes, int]] = {}
         self._cold_since_ms = now_ms()
         self._drained_ms: float | None = None
@@ -252,6 +253,7 @@
         else:
             self.flows[record.flow_id] = Flow(record, link, now_ms(), now_ms())
             self.counts['flow_opens_new'] += 1
+            self._opened.add(record.flow_id)
             self._note_new_flow()
         link.send(UpstreamFrame(flow_opened=opened))
 
@@ -531,6 +533,10 @@
         rows = [{name: getattr(row, name) for name in names} for row in self.executions]
         return AdminAnswer(rows)
 
+    def list_opened(self, _request: AdminRequest) -> AdminAnswer:
+        """Return the ids of all flows that were ever opened here."""
+        return AdminAnswer([flow.hex() for flow in self._opened])
+
     def list_flows(self, _request: AdminRequest) -> AdminAnswer:
         """Return the open flows."""
         rows = [
@@ -610,6 +616,7 @@
         ('GET', '/stats'): upstream.stats,
         ('GET', '/executions'): upstream.list_executions,
         ('GET', '/flows'): upstream.list_flows,
+        ('GET', '/opened'): upstream.list_opened,
         ('POST', '/set'): upstream.set_behaviour,
     }
     await serve_admin(parse_endpoint(options.admin).as_pair(), handlers)
