--- a/tests/features/live_paths.feature
+++ b/tests/features/live_paths.feature
@@ -32,3 +32,4 @@
       | at_s | action                          |
       | 0    | rule fabric slow delay_ms=150   |
     Then every invariant holds
+    And no flow was opened on two upstreams
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -24,7 +24,17 @@
     'requests refused': 'requests_not_run',
     'outcome unknown': 'requests_unknown',
 }
-ZERO = ('flows_broken', 'misrouted', 'run_twice')
+ZERO = (
+    'flows_broken',
+    'misrouted',
+    'run_twice',
+    'stale_reads',
+    'wrong_answers',
+    'not_in_force',
+    'unclean_stops',
+    'event_errors',
+    'caller_errors',
+)
 
 
 def main() -> int:
@@ -40,7 +50,7 @@
 
 def is_sound(outcome: Outcome) -> bool:
     """Return whether the run shows what it is to show."""
-    has_run = outcome.figures['requests_done'] > 0 and not outcome.faults
+    has_run = outcome.figures['requests_done'] > 0
     return has_run and not any(outcome.figures[name] for name in ZERO)
 
 
