Check the queue under random sheds, cancellations and changed slots

Cause: no test mixed requeue, cancel, set_slots and expiry. Change: a randomised scenario (100 cases) that every request ends once and that the queue is empty and free afterwards.

--- a/tests/features/queue.feature
+++ b/tests/features/queue.feature
@@ -37,6 +37,9 @@
   Scenario: An upstream that sheds is sent as much as before
     Then the queue uses fewer slots after a shed and all slots later
 
+  Scenario: Sheds, cancellations and changed slots lose work or leave counts behind
+    Then after random operations every request has ended once and nothing is left
+
   Scenario: Wrong estimates refuse a customer for good
     Then a customer whose work was slow once is served again when it is fast
 
--- a/tests/features/steps/queue_steps.py
+++ b/tests/features/steps/queue_steps.py
@@ -335,6 +335,68 @@
     assert scheduler.running() == 3
 
 
+def end_one(scheduler, running, random, now_ms):
+    """Finish, shed or fail one running request; return it if it has ended."""
+    work = running.pop(random.randrange(len(running)))
+    outcome = random.choice(list(Outcome))
+    scheduler.finish(work.request, outcome, now_ms)
+    if outcome is not Outcome.SHED:
+        return [work.request]
+    scheduler.requeue(work, now_ms + random.uniform(0, 300))
+    return []
+
+
+def random_operations(seed):
+    random = Random(seed)
+    scheduler = queue(slots=random.randint(1, 4))
+    accepted, running, ended = [], [], []
+    now_ms = 0
+    for row in random_jobs(random, 120):
+        now_ms += random.uniform(0, 60)
+        work = replace(row.as_work(), deadline_ms=now_ms + row.timeout_ms)
+        if scheduler.submit(work, now_ms) == Success(None):
+            accepted.append(work)
+        if random.random() < 0.05:
+            scheduler.set_slots(random.randint(1, 4), now_ms)
+        if accepted and random.random() < 0.2:
+            victim = random.choice(accepted)
+            before = scheduler.queued()
+            scheduler.cancel(victim.request, now_ms)
+            ended += [victim.request] * (before - scheduler.queued())
+        while running and random.random() < 0.6:
+            ended += end_one(scheduler, running, random, now_ms)
+        ended += [late.request for late in scheduler.expire(now_ms)]
+        running += scheduler.start(now_ms)
+        assert scheduler.running() == len(running)
+    while running or scheduler.queued():
+        event_ms = scheduler.next_event_ms(now_ms)
+        now_ms = now_ms + 5 if running else max(now_ms + 0.01, event_ms)
+        if running:
+            ended += end_one(scheduler, running, random, now_ms)
+        ended += [late.request for late in scheduler.expire(now_ms)]
+        running += scheduler.start(now_ms)
+    ended += [late.request for late in scheduler.expire(now_ms)]
+    return scheduler, accepted, ended
+
+
+@then('after random operations every request has ended once and nothing is left')
+def check_operations(context):
+    @cases(100)
+    @hypothesis_given(SEEDS)
+    def check(seed):
+        scheduler, accepted, ended = random_operations(seed)
+        assert len(ended) == len(set(ended)) == len(accepted)
+        assert set(ended) == {work.request for work in accepted}
+        assert scheduler.running() == 0
+        idle = job(at=1e7, timeout_ms=1000).as_work()
+        assert scheduler.expected_wait_ms(idle, 1e7) == 0
+        assert scheduler.next_event_ms(1e7) == float('inf')
+        assert scheduler.submit(idle, 1e7) == Success(None)
+        assert list(scheduler.start(1e7)) == [idle]
+
+    check()
+
+
 @then('a customer whose work was slow once is served again when it is fast')
 def check_relearned(context):
     slow = [job(run_ms=5000, at=index * 6000.0) for index in range(5)]
