--- a/tests/features/queue.feature
+++ b/tests/features/queue.feature
@@ -7,6 +7,10 @@
   Scenario: An urgent label buys more than the fair share
     Then a customer that labels everything urgent gets its share of the slots
 
+  Scenario: Normal work makes urgent work late, or urgent work starves normal work
+    Then urgent work that fits the slots is in time beside saturating normal work
+    And normal work gets its guaranteed share beside urgent work above the slots
+
   Scenario: Bulk work starves behind urgent and normal work
     Then bulk work gets its guaranteed share beside saturating urgent work
 
@@ -33,6 +37,9 @@
   Scenario: An upstream that sheds is sent as much as before
     Then the queue uses fewer slots after a shed and all slots later
 
+  Scenario: Sheds, cancellations and changed slots lose work or leave counts behind
+    Then after random operations every request has ended once and nothing is left
+
   Scenario: Wrong estimates refuse a customer for good
     Then a customer whose work was slow once is served again when it is fast
 
--- a/tests/features/steps/queue_steps.py
+++ b/tests/features/steps/queue_steps.py
@@ -121,6 +121,39 @@
     assert 0.24 < share < 0.25 + 0.02, share
 
 
+def mixed_jobs(urgent_load, horizon_ms):
+    random = Random(6)
+    for name, load, timeout_ms in ((URGENT, urgent_load, 500), (NORMAL, 2, 2000)):
+        now_ms = 0
+        while now_ms < horizon_ms:
+            now_ms += random.expovariate(2 * load / 20)
+            run_ms = random.expovariate(1 / 20)
+            customer = random.choice('abcdefgh')
+            yield job(customer, name, run_ms, now_ms, timeout_ms)
+
+
+@then('urgent work that fits the slots is in time beside saturating normal work')
+def check_urgent_fits(context):
+    done = Upstream(queue(), list(mixed_jobs(0.7, 60_000)), 1e6).run()
+    urgent = [row for row in done if row.service_class is URGENT]
+    in_time = sum(row.is_in_time() for row in urgent) / len(urgent)
+    assert in_time >= 0.99, in_time
+
+
+@then('normal work gets its guaranteed share beside urgent work above the slots')
+def check_normal_progress(context):
+    horizon_ms = 60_000
+    done = Upstream(queue(), list(mixed_jobs(1.5, horizon_ms)), 1e6).run()
+    begin = 10_000
+    normal = sum(
+        row.run_ms
+        for row in done
+        if row.service_class is NORMAL and begin <= row.end_ms < horizon_ms
+    )
+    share = normal / (2 * (horizon_ms - begin))
+    assert share > 0.9 * 4 / 21, share
+
+
 @then('bulk work gets its guaranteed share beside saturating urgent work')
 def check_bulk_progress(context):
     horizon_ms = 100_000
@@ -302,6 +335,68 @@
     assert scheduler.running() == 3
 
 
+def end_one(scheduler, running, random, now_ms):
+    """Finish, shed or fail one running request; return it if it has ended."""
+    work = running.pop(random.randrange(len(running)))
+    outcome = random.choice(list(Outcome))
+    scheduler.finish(work.request, outcome, now_ms)
+    if outcome is not Outcome.SHED:
+        return [work.request]
+    scheduler.requeue(work, now_ms + random.uniform(0, 300))
+    return []
+
+
+def random_operations(seed):
+    random = Random(seed)
+    scheduler = queue(slots=random.randint(1, 4))
+    accepted, running, ended = [], [], []
+    now_ms = 0
+    for row in random_jobs(random, 120):
+        now_ms += random.uniform(0, 60)
+        work = replace(row.as_work(), deadline_ms=now_ms + row.timeout_ms)
+        if scheduler.submit(work, now_ms) == Success(None):
+            accepted.append(work)
+        if random.random() < 0.05:
+            scheduler.set_slots(random.randint(1, 4), now_ms)
+        if accepted and random.random() < 0.2:
+            victim = random.choice(accepted)
+            before = scheduler.queued()
+            scheduler.cancel(victim.request, now_ms)
+            ended += [victim.request] * (before - scheduler.queued())
+        while running and random.random() < 0.6:
+            ended += end_one(scheduler, running, random, now_ms)
+        ended += [late.request for late in scheduler.expire(now_ms)]
+        running += scheduler.start(now_ms)
+        assert scheduler.running() == len(running)
+    while running or scheduler.queued():
+        event_ms = scheduler.next_event_ms(now_ms)
+        now_ms = now_ms + 5 if running else max(now_ms + 0.01, event_ms)
+        if running:
+            ended += end_one(scheduler, running, random, now_ms)
+        ended += [late.request for late in scheduler.expire(now_ms)]
+        running += scheduler.start(now_ms)
+    ended += [late.request for late in scheduler.expire(now_ms)]
+    return scheduler, accepted, ended
+
+
+@then('after random operations every request has ended once and nothing is left')
+def check_operations(context):
+    @cases(100)
+    @hypothesis_given(SEEDS)
+    def check(seed):
+        scheduler, accepted, ended = random_operations(seed)
+        assert len(ended) == len(set(ended)) == len(accepted)
+        assert set(ended) == {work.request for work in accepted}
+        assert scheduler.running() == 0
+        idle = job(at=1e7, timeout_ms=1000).as_work()
+        assert scheduler.expected_wait_ms(idle, 1e7) == 0
+        assert scheduler.next_event_ms(1e7) == float('inf')
+        assert scheduler.submit(idle, 1e7) == Success(None)
+        assert list(scheduler.start(1e7)) == [idle]
+
+    check()
+
+
 @then('a customer whose work was slow once is served again when it is fast')
 def check_relearned(context):
     slow = [job(run_ms=5000, at=index * 6000.0) for index in range(5)]
