--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -9,9 +9,9 @@
 from pathlib import Path
 
 from behave import given, then, when
+from hypothesis import Phase, strategies
 from hypothesis import given as hypothesis_given
 from hypothesis import settings as hypothesis_settings
-from hypothesis import strategies
 
 from cardamomtiller import membership as membership_module
 from cardamomtiller.assignment import LOAD_FACTOR, OwnerTable, owners
@@ -495,7 +495,13 @@
 
 @then('random fleets keep the load bound and move at most twice the minimum and 2 more')
 def check_moves(context):
-    @hypothesis_settings(max_examples=60, derandomize=True, deadline=None)
+    # Shrinking a failure takes many minutes here, so a failure is shown as found.
+    @hypothesis_settings(
+        max_examples=60,
+        derandomize=True,
+        deadline=None,
+        phases=(Phase.explicit, Phase.generate),
+    )
     @hypothesis_given(
         strategies.integers(2, 40), strategies.integers(1, 250), strategies.randoms()
     )
