Count adopted flows for their customer; obey a draining upstream

Cause: a flow that moved to a new home was not counted against the open flows of its customer any more, and the Drain frame of an upstream was ignored. Change: the owner counts every open flow of its upstreams; a leaving or draining upstream gets no new flow even from an instance with an old list.

--- a/src/cardamomtiller/admission.py
+++ b/src/cardamomtiller/admission.py
@@ -176,15 +176,25 @@
             self._ask_for_more(usage, now_ms)
         return Success(self._permit(customer, PermitKind.FLOW, 0))
 
+    def adopt_flow(self, customer: CustomerId, now_ms: float) -> Permit:
+        """Count a flow that is already open, whether or not it is within the share."""
+        usage = self._refresh(customer, now_ms)
+        usage.traffic.admit_flow(now_ms)
+        return self._permit(customer, PermitKind.FLOW, 0)
+
     def release(self, permit: Permit, now_ms: float) -> None:
         """Release what a permit holds; a second release has no effect."""
         if permit.serial not in self._open:
             return
         self._open.remove(permit.serial)
-        traffic = self._usages[permit.customer].traffic
+        usage = self._usages.get(permit.customer)
+        if usage is None:
+            # Adopted for a customer that has no plan.
+            return
+        traffic = usage.traffic
         traffic.roll(now_ms)
         if permit.kind is PermitKind.FLOW:
-            traffic.flows -= 1
+            traffic.flows = max(0, traffic.flows - 1)
         else:
             traffic.requests -= 1
             traffic.bytes_in_flight -= permit.bytes_count
--- a/src/cardamomtiller/dataplane.py
+++ b/src/cardamomtiller/dataplane.py
@@ -200,7 +200,7 @@
         if served and served.address == row.address:
             served.retired_ms = None
             served.home.set_row(row, catalog, now_ms)
-            served.home.resume_ownership()
+            served.home.resume_ownership(now_ms)
             return
         if self.parts is None:
             return
--- a/src/cardamomtiller/flowserving.py
+++ b/src/cardamomtiller/flowserving.py
@@ -4,11 +4,12 @@
 
 from cardamomtiller.flowtable import ServedFlow
 from cardamomtiller.home import Arrival, Home
-from cardamomtiller.identity import FlowId, RequestId
+from cardamomtiller.identity import FlowId, OperatorState, RequestId
 from cardamomtiller.requestserving import RequestServer
 from cardamomtiller.wire_pb2 import (
     Cookie,
     FlowClose,
+    FlowList,
     FlowOpen,
     FlowOpened,
     FlowPing,
@@ -45,14 +46,25 @@
         """Return whether every flow has been told to move."""
         return not self._unmoved
 
-    def retire(self) -> None:
+    def retire(self, now_ms: float) -> None:
         """Begin to tell every flow to move."""
         rows = self._home.rows.values()
         self._unmoved = [row.flow for row in rows if row.is_home]
+        for row in rows:
+            self._home.disown(row, now_ms)
 
-    def resume_ownership(self) -> None:
+    def resume_ownership(self, now_ms: float) -> None:
         """Stop telling flows to move."""
         self._unmoved = []
+        for row in self._home.rows.values():
+            self._home.adopt(row, now_ms)
+
+    def add_listed(self, message: FlowList, now_ms: float) -> None:
+        """Take flows from the upstream's list."""
+        service = self._home.row.service
+        for record in message.flows:
+            row = self._home.flows.add_listed(record, service, now_ms)
+            self._home.adopt(row, now_ms)
 
     def handle_open(self, arrival: Arrival, now_ms: float) -> None:
         """Open a flow or give it a new home."""
@@ -75,6 +87,11 @@
             return
         self._open_flow(arrival, row, now_ms)
 
+    def _is_leaving(self) -> bool:
+        """Return whether the upstream takes no new flows."""
+        is_leaving = self._home.row.state is OperatorState.LEAVING
+        return is_leaving or self._home.is_draining
+
     def _is_gone(self, cookie: Cookie | None) -> bool:
         return (
             cookie is not None and cookie.upstream_incarnation != self._home.incarnation
@@ -90,6 +107,10 @@
             self._home.count('open.foreign_flow')
             return
         permit = row.permit if row else None
+        if arrival.cookie is None and self._is_leaving():
+            reason = Reason.REASON_NO_UPSTREAM
+            self._refuse(arrival, reason, RETRY_OPEN_MS, now_ms)
+            return
         if arrival.cookie is None and permit is None:
             admitted = self._home.parts.admission.admit_flow(arrival.customer, now_ms)
             if isinstance(admitted, Failure):
@@ -104,6 +125,7 @@
         row.permit = permit
         row.generation = held
         row.pending_generation = max(held, known) + 1
+        self._home.adopt(row, now_ms)
         self._home.rows[arrival.flow] = row
         self._send_flow_open(row, now_ms)
 
@@ -222,8 +244,7 @@
     def _lose_flow(self, row: ServedFlow, now_ms: float) -> None:
         self._home.count('flow.moved_away')
         row.is_home = False
-        self._home.release(row.permit, now_ms)
-        row.permit = None
+        self._home.disown(row, now_ms)
         self._requests.move_flow(row.flow, now_ms)
 
     def handle_push(self, message: PushFrame) -> None:
--- a/src/cardamomtiller/home.py
+++ b/src/cardamomtiller/home.py
@@ -109,6 +109,7 @@
         self.flows = FlowTable()
         self.is_owner = True
         self.incarnation: int = 0
+        self.is_draining = False
         self.link: UpstreamLink | None = None
 
     @property
@@ -191,6 +192,16 @@
             forwarder=arrival.forwarder,
         )
 
+    def adopt(self, row: ServedFlow, now_ms: float) -> None:
+        """Count an open flow for its customer while this instance owns it."""
+        if row.permit is None and self.is_owner:
+            row.permit = self.parts.admission.adopt_flow(row.customer, now_ms)
+
+    def disown(self, row: ServedFlow, now_ms: float) -> None:
+        """Stop counting an open flow here; its next owner counts it."""
+        self.release(row.permit, now_ms)
+        row.permit = None
+
     def release(self, permit: Permit | None, now_ms: float) -> None:
         """Give a permit back, if there is one."""
         if permit is not None:
--- a/src/cardamomtiller/instance.py
+++ b/src/cardamomtiller/instance.py
@@ -27,12 +27,14 @@
 from cardamomtiller.identity import (
     MS_PER_S,
     CustomerId,
+    DocumentName,
     DomainName,
     Endpoint,
     InstanceId,
     OperatorState,
     RegionName,
     ServiceName,
+    Version,
     parse_endpoint,
 )
 from cardamomtiller.invariant import Invariants
@@ -123,6 +125,7 @@
         self._reload = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_stopping = False
+        self._logged: dict[DocumentName, Version] = {}
 
     # Wiring
 
@@ -289,7 +292,7 @@
 
     def _take_configuration(self, now_ms: float) -> None:
         catalog = self.store.catalog
-        logger.info('configuration taken: {}', _version_text(self.store))
+        logger.info('configuration taken: {}', self._changed_documents())
         self.membership.set_published(catalog.instances.values(), now_ms)
         self.lease.set_plans(catalog, now_ms)
         self._open_published_addresses()
@@ -301,6 +304,12 @@
                 logger.info('the published list says that this instance leaves')
                 self._stop.set()
 
+    def _changed_documents(self) -> str:
+        versions = self.store.versions()
+        changed = sorted(set(versions.items()) - set(self._logged.items()))
+        self._logged = dict(versions)
+        return ', '.join(f'{name} {version}' for name, version in changed)
+
     async def _listen_streams(self) -> None:
         text = self.settings.entrance.stream_addresses
         if text:
@@ -440,21 +449,19 @@
                 share = self.lease.share(customer, now_ms)
                 yield customer, {'share': asdict(share), 'demand': asdict(demand)}
 
-    def flows(self) -> Json:
-        """Return the flows that are served here."""
-        return [
-            {
-                'flow': row.flow.hex(),
-                'service': row.service,
-                'customer': row.customer,
-                'upstream': served.row.name,
-                'caller': str(row.caller),
-                'generation': row.generation,
-                'is_home': row.is_home,
-            }
-            for served in self._served()
-            for row in served.home.rows.values()
-        ]
+    def flows(self) -> Iterator[Json]:
+        """Iterate over the flows that are served here."""
+        for served in tuple(self._served()):
+            for row in tuple(served.home.rows.values()):
+                yield {
+                    'flow': row.flow.hex(),
+                    'service': row.service,
+                    'customer': row.customer,
+                    'upstream': served.row.name,
+                    'caller': str(row.caller),
+                    'generation': row.generation,
+                    'is_home': row.is_home,
+                }
 
     def counters(self) -> Json:
         """Return the counters and gauges."""
@@ -561,10 +568,5 @@
             yield bytes.fromhex(text)
 
 
-def _version_text(store: SnapshotStore) -> str:
-    versions = store.versions()
-    return ', '.join(f'{name} {versions[name]}' for name in sorted(versions))
-
-
 def _now_ms() -> float:
     return time.monotonic() * MS_PER_S
--- a/src/cardamomtiller/serving.py
+++ b/src/cardamomtiller/serving.py
@@ -57,15 +57,16 @@
             return
         self.home.is_owner = False
         logger.info('upstream {}: ownership given up', self.row.name)
-        self.flows.retire()
+        self.flows.retire(now_ms)
         self.requests.retire(now_ms)
 
-    def resume_ownership(self) -> None:
+    def resume_ownership(self, now_ms: float) -> None:
         """Serve again after ``retire``."""
-        if not self.home.is_owner:
-            logger.info('upstream {}: ownership taken up', self.row.name)
+        if self.home.is_owner:
+            return
+        logger.info('upstream {}: ownership taken up', self.row.name)
         self.home.is_owner = True
-        self.flows.resume_ownership()
+        self.flows.resume_ownership(now_ms)
 
     @property
     def is_drained(self) -> bool:
@@ -85,7 +86,7 @@
             queued_requests=scheduler.queued(),
             running_requests=scheduler.running(),
             slots=self.row.slots,
-            is_healthy=self.home.is_up,
+            is_healthy=self.home.is_up and not self.home.is_draining,
         )
 
     # Packets of callers
@@ -155,6 +156,7 @@
             self.flows.forget_incarnation(now_ms)
             self.home.incarnation = hello.incarnation
         logger.info('upstream {} is up', self.row.name)
+        self.home.is_draining = False
         self.home.count('link.up')
 
     def _reject(self, hello: Hello) -> None:
@@ -180,9 +182,11 @@
                 self.requests.handle_run_answer(frame.run_answer, now_ms)
             case 'run_shed':
                 self.requests.handle_shed(frame.run_shed, now_ms)
-            case 'load_report' | 'drain':
-                # Observed outcomes and published states decide instead.
+            case 'load_report':
+                # Reports lag or mislead; observed outcomes decide instead.
                 self.home.count('link.report')
+            case 'drain':
+                self.home.is_draining = frame.drain.is_draining
             case _:
                 self._handle_flow_frame(frame, now_ms)
         self.requests.start_work(now_ms)
@@ -196,8 +200,7 @@
             case 'flow_opened':
                 self.flows.handle_flow_opened(frame.flow_opened, now_ms)
             case 'flow_list':
-                for record in frame.flow_list.flows:
-                    self.home.flows.add_listed(record, self.row.service, now_ms)
+                self.flows.add_listed(frame.flow_list, now_ms)
             case 'flow_close':
                 flow = FlowId(frame.flow_close.flow_id)
                 self.flows.handle_upstream_close(flow, now_ms)
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -289,6 +289,9 @@
     def admit_flow(self, customer, now_ms) -> Result[Permit, Refusal]:
         return Success(Permit(0, customer, PermitKind.FLOW, 0))
 
+    def adopt_flow(self, customer, now_ms) -> Permit:
+        return Permit(0, customer, PermitKind.FLOW, 0)
+
     def release(self, permit, now_ms) -> None:
         """Nothing is held."""
 
