Keep flows through silent paths and copied opens

Cause: live tests showed that (1) copies of an open reached two upstreams and the caller adopted the latest, (2) answers left only from the home, so a silent path from home to caller lost its flows, (3) LINK_LOST opened a new flow at once, (4) an idempotent request whose home was lost could end as a false 'not run'. Change: packets carry the tag of their upstream and the caller keeps the first one; a caller that hears nothing says so and is answered through the instance that took its packet; LINK_LOST resumes first; such a 'not run' is 'unknown'.

--- a/src/cardamomtiller/client.py
+++ b/src/cardamomtiller/client.py
@@ -13,7 +13,7 @@
 import random
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from types import TracebackType
 from typing import Self
@@ -94,6 +94,7 @@
     open_timeout_ms: float = 10_000
     silence_ms: float = 3000
     lost_ms: float = 8000
+    link_lost_ms: float = 4000
     is_reopening: bool = True
 
 
@@ -311,6 +312,8 @@
         self._cookies: dict[int, bytes] = {}
         self._generation = 0
         self._sequence = 0
+        self._upstream_tag = 0
+        self._link_lost_ms: float = 0
         self._refusal: OpenError | None = None
         self._heard_ms: float = 0
         self._next_push_id = 1
@@ -347,9 +350,13 @@
             customer=self._customer,
             sent_unix_ms=int(time.time() * MS_PER_S),
             is_resume=is_resume,
+            is_unheard=is_resume and self._is_unheard(),
         )
         self._send(Packet(open=message), self._cookie)
 
+    def _is_unheard(self) -> bool:
+        return _now_ms() - self._heard_ms > self._options.silence_ms
+
     async def _keep_open(self) -> None:
         """Resume the flow when asked; open a new one when it is broken."""
         while not self._is_closed:
@@ -401,7 +408,7 @@
                 continue
             keepalive = Keepalive(first_open_request_id=self._first_open())
             self._send(Packet(keepalive=keepalive), self._cookie)
-            if _now_ms() - self._heard_ms > self._options.silence_ms:
+            if self._is_unheard():
                 self._resume_wanted.set()
 
     # Requests
@@ -499,6 +506,9 @@
         if not codec.is_authentic(datagram, (self._flow_key,)):
             self._receive_unauthentic(packet, datagram)
             return
+        if packet.upstream_tag and not self._is_own_upstream(packet):
+            self._receive_foreign(packet)
+            return
         self._heard_ms = _now_ms()
         handle = self._handlers().get(packet.WhichOneof('body') or '')
         if handle:
@@ -506,6 +516,15 @@
         else:
             self.counts.dropped += 1
 
+    def _is_own_upstream(self, packet: Packet) -> bool:
+        return not self._upstream_tag or packet.upstream_tag == self._upstream_tag
+
+    def _receive_foreign(self, packet: Packet) -> None:
+        # A copy of the open was given another upstream; the first one is kept.
+        self.counts.dropped += 1
+        if packet.WhichOneof('body') == 'opened':
+            self._send(Packet(close=Close()), packet.cookie)
+
     def _receive_unauthentic(self, packet: Packet, datagram: bytes) -> None:
         # An instance that does not know the customer cannot make the MAC. The
         # refusal is only a hint and never ends the attempts to open.
@@ -532,6 +551,7 @@
         if packet.generation < self._generation:
             return
         self.upstream = packet.opened.upstream
+        self._upstream_tag = packet.upstream_tag
         self._keepalive_ms = packet.opened.keepalive_ms or self._keepalive_ms
         self._adopt(packet)
         self._refusal = None
@@ -562,7 +582,7 @@
             outstanding.wake.set()
 
     def _handle_keepalive_answer(self, _packet: Packet) -> None:
-        """Nothing to do: every authentic packet counts as heard."""
+        self._link_lost_ms = 0
 
     def _handle_request_ack(self, packet: Packet) -> None:
         ack: RequestAck = packet.request_ack
@@ -590,7 +610,11 @@
         outstanding.answer.add(message.chunk_index, message.payload)
         self._acknowledge(outstanding, outstanding.answer)
         if outstanding.answer.is_complete:
-            outstanding.finish(_as_answer(message, outstanding.answer.body()))
+            answer = _as_answer(message, outstanding.answer.body())
+            if answer.status is Status.NOT_RUN and outstanding.is_home_lost:
+                # An earlier copy may have run at the home that was lost.
+                answer = replace(answer, status=Status.UNKNOWN)
+            outstanding.finish(answer)
 
     def _acknowledge(self, outstanding: _Outstanding, answer: Reassembly) -> None:
         ack = AnswerAck(
@@ -636,11 +660,21 @@
         text = reason.lower().replace('_', ' ')
         if packet.reset.reason == Reason.REASON_HOME_GONE:
             self._lose_home(packet.generation, text)
+        elif packet.reset.reason == Reason.REASON_LINK_LOST:
+            self._notice_link_lost()
         elif packet.generation >= self._generation:
             # Without a cookie the flow cannot be resumed and is opened anew.
             self._cookie = b''
             self._resume_wanted.set()
 
+    def _notice_link_lost(self) -> None:
+        """Resume first: the upstream may only be out of reach of its home."""
+        now_ms = _now_ms()
+        self._link_lost_ms = self._link_lost_ms or now_ms
+        if now_ms - self._link_lost_ms > self._options.link_lost_ms:
+            self._cookie = b''
+        self._resume_wanted.set()
+
     def _lose_home(self, generation: int, reason: str) -> None:
         for outstanding in tuple(self._outstanding.values()):
             if outstanding.generation != generation:
--- a/src/cardamomtiller/codec.py
+++ b/src/cardamomtiller/codec.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import zlib
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import cast
@@ -109,6 +110,11 @@
     return cast('WireServiceClass.ValueType', service_class.value)
 
 
+def tag_upstream(upstream: str) -> int:
+    """Return the 32-bit tag of an upstream, never 0."""
+    return zlib.crc32(upstream.encode()) or 1
+
+
 def split_chunks(body: bytes) -> tuple[bytes, ...]:
     """Return the body in parts of ``CHUNK_BYTES``; an empty body is one part."""
     starts = range(0, max(len(body), 1), CHUNK_BYTES)
--- a/src/cardamomtiller/dataplane.py
+++ b/src/cardamomtiller/dataplane.py
@@ -40,6 +40,7 @@
 from cardamomtiller.settings_pb2 import Settings
 from cardamomtiller.wire_pb2 import (
     Address,
+    Backward,
     Forward,
     LoadNotice,
     Packet,
@@ -310,6 +311,7 @@
             local.flow_key,
             local.cookie.generation,
             is_open=False,
+            upstream=local.upstream,
         )
         self._answer(ServiceName(local.cookie.service), caller, packet, gone)
 
@@ -349,6 +351,7 @@
         else:
             self._counters.add('packet.unroutable')
             reply.reset.CopyFrom(Reset(reason=answered.reason))
+            reply.upstream_tag = codec.tag_upstream(answered.upstream)
         self._send_datagram(service, caller, reply, answered.flow_key)
 
     def _send_datagram(
@@ -358,11 +361,14 @@
         packet: Packet,
         flow_key: bytes,
     ) -> None:
+        self._send_to(service, caller, codec.encode_packet(packet, flow_key))
+
+    def _send_to(self, service: ServiceName, caller: Endpoint, datagram: bytes) -> None:
         opened = self._sockets.get(service)
-        if not opened:
+        if opened:
+            opened[0].send(datagram, caller)
+        else:
             self._counters.add('packet.no_socket')
-            return
-        opened[0].send(codec.encode_packet(packet, flow_key), caller)
 
     # Other instances
 
@@ -382,9 +388,16 @@
                     UpstreamId(notice.upstream),
                     notice.load,
                 )
+            case 'backward':
+                self._receive_backward(message.backward)
             case _:
                 self._counters.add('peer.unexpected')
 
+    def _receive_backward(self, backward: Backward) -> None:
+        caller = Endpoint(backward.caller.host, backward.caller.port)
+        self._counters.add('packet.relayed_back')
+        self._send_to(ServiceName(backward.service), caller, backward.datagram)
+
     def _receive_forward(self, forward: Forward) -> None:
         service = ServiceName(forward.service)
         caller = Endpoint(forward.caller.host, forward.caller.port)
@@ -422,7 +435,16 @@
         if not flow.flow_key:
             self._counters.add('packet.no_flow_key')
             return
-        self._send_datagram(flow.service, flow.caller, packet, flow.flow_key)
+        if not flow.relay or flow.relay == self._router.view.own:
+            self._send_datagram(flow.service, flow.caller, packet, flow.flow_key)
+            return
+        backward = Backward(
+            service=flow.service,
+            caller=Address(host=flow.caller.host, port=flow.caller.port),
+            datagram=codec.encode_packet(packet, flow.flow_key),
+        )
+        relay = InstanceId(flow.relay)
+        self._send_peer(relay, PeerDatagram(backward=backward))
 
     def send_load(self, forwarder: str, upstream: UpstreamId) -> None:
         """Tell the load of an upstream to the instance that forwarded an open."""
--- a/src/cardamomtiller/flowserving.py
+++ b/src/cardamomtiller/flowserving.py
@@ -69,6 +69,8 @@
     def handle_open(self, arrival: Arrival, now_ms: float) -> None:
         """Open a flow or give it a new home."""
         row = self._home.rows.get(arrival.flow)
+        if row and arrival.packet.open.is_unheard:
+            row.relay = arrival.forwarder
         if row and row.pending_generation:
             self._send_flow_open(row, now_ms)
             return
@@ -122,6 +124,8 @@
         held = row.generation if row else 0
         known = arrival.cookie.generation if arrival.cookie else 0
         row = self._home.guest(arrival, now_ms)
+        if arrival.packet.open.is_unheard:
+            row.relay = arrival.forwarder
         row.permit = permit
         row.generation = held
         row.pending_generation = max(held, known) + 1
--- a/src/cardamomtiller/flowtable.py
+++ b/src/cardamomtiller/flowtable.py
@@ -32,6 +32,8 @@
     # Empty for a flow that is only known from the upstream's list.
     flow_key: bytes = b''
     forwarder: str = ''
+    # Instance that relays to the caller while the direct path is silent.
+    relay: str = ''
 
     def record(self, generation: int) -> FlowRecord:
         """Return the form that the upstream keeps."""
--- a/src/cardamomtiller/home.py
+++ b/src/cardamomtiller/home.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from cardamomtiller import codec
 from cardamomtiller.admission import Admission, Permit
 from cardamomtiller.catalog import Catalog
 from cardamomtiller.cookie import CookieSealer
@@ -110,6 +111,7 @@
         self.is_owner = True
         self.incarnation: int = 0
         self.is_draining = False
+        self._tag = codec.tag_upstream(row.name)
         self.link: UpstreamLink | None = None
 
     @property
@@ -131,6 +133,7 @@
         """Send to a caller; the generation is that of the flow unless given."""
         packet.flow_id = row.flow
         packet.generation = generation or row.generation
+        packet.upstream_tag = self._tag
         self.parts.outlet.send(row, packet)
 
     def send_frame(
@@ -174,6 +177,7 @@
         if body == 'close':
             return
         packet = Packet(flow_id=arrival.flow, reset=Reset(reason=reason))
+        packet.upstream_tag = self._tag
         if arrival.cookie:
             packet.generation = arrival.cookie.generation
         self.parts.outlet.send(self.guest(arrival, now_ms), packet)
--- a/src/cardamomtiller/routing.py
+++ b/src/cardamomtiller/routing.py
@@ -56,6 +56,7 @@
     flow_key: bytes
     generation: int
     is_open: bool
+    upstream: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,8 +203,7 @@
         is_open = inbound.packet.WhichOneof('body') == 'open'
         row = self._upstream_row(inbound.service, UpstreamId(cookie.upstream))
         if row is None:
-            reason = Reason.REASON_UPSTREAM_GONE
-            return Answered(reason, flow_key, cookie.generation, is_open=False)
+            return _reset(Reason.REASON_UPSTREAM_GONE, flow_key, cookie)
         local = Local(row.name, cookie, customer, flow_key)
         if is_open:
             return self._route_to_owner(inbound, local)
@@ -215,8 +215,7 @@
             home,
             incarnation,
         ):
-            reason = Reason.REASON_HOME_GONE
-            return Answered(reason, flow_key, cookie.generation, is_open=False)
+            return _reset(Reason.REASON_HOME_GONE, flow_key, cookie)
         if inbound.hops >= LARGEST_HOPS:
             return Dropped('packet.too_many_hops')
         return Onward(home, row.name)
@@ -251,3 +250,13 @@
 
 def _answer(reason: Reason.ValueType, flow_key: bytes) -> Answered:
     return Answered(reason, flow_key, generation=0, is_open=True)
+
+
+def _reset(reason: Reason.ValueType, flow_key: bytes, cookie: Cookie) -> Answered:
+    return Answered(
+        reason,
+        flow_key,
+        cookie.generation,
+        is_open=False,
+        upstream=cookie.upstream,
+    )
