Test the data path in randomised runs

Cause: the simulation was only run by hand, so a change that breaks a promise of the data path passed the tests.

New kinds of event: drain of an upstream, an instance that joins, rotation of the sealing key. The report lists broken promises, among them violated invariants, exceptions, runs after the deadline and flows opened at a leaving upstream after 3 s. tools/fuzz.py runs random seeds and prints the command that repeats a failure.

--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -10,7 +10,7 @@
 import random
 import selectors
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 from returns.result import Result, Success
@@ -54,7 +54,7 @@
 from cardamomtiller.settings import parse_settings
 from cardamomtiller.wire_pb2 import UpstreamFrame
 from tools.standins import upstream as upstream_module
-from tools.standins.upstream import Behaviour, Link, Upstream
+from tools.standins.upstream import Behaviour, Execution, Link, Upstream
 
 SERVICES = (ServiceName('orders'), ServiceName('patterns'))
 CUSTOMER = CustomerId('resort')
@@ -64,6 +64,30 @@
 REGION = RegionName('r1')
 TICK_S = 0.02
 DETECTION_S = 2.5
+# Longest time until every instance has a published change.
+PUBLISHED_S = 2.0
+# A leaving upstream gets no new flow later than this after the publication.
+DRAIN_BOUND_S = 3.0
+DRAINED_S = 7.0
+BRIEF_CALLS = 12
+COOKIE_LIFETIME_MS = 2000
+FLOW_IDLE_MS = 3000
+REQUEST_TIMEOUT_MS = 6000
+# A home counts the deadline from the packet's arrival; see the largest delay
+# of `lose_packets` on each of two hops, and the delay of the link.
+LATE_S = 0.15
+EVENTS = (
+    'kill',
+    'pause',
+    'stop',
+    'flap_views',
+    'lose_packets',
+    'break_link',
+    'drain_upstream',
+    'join',
+    'rotate_key',
+)
+PLANNED = frozenset(('stop', 'drain_upstream', 'join', 'rotate_key'))
 FIRST_INCARNATION = 1000
 SETTINGS_TEXT = """
 [instance]
@@ -308,6 +332,7 @@
         self.links: list[SimulatedLink] = []
         self.counters = Counters()
         self._revision = 0
+        self._catalog = fleet.catalog
         self._held: list[Callable[[], None]] = []
         sealer = CookieSealer()
         self._identity = HomeIdentity(row.name, self.incarnations[0])
@@ -348,15 +373,16 @@
             own=self.row.name,
             incarnation=self.incarnations[-1],
             own_incarnations=frozenset(self.incarnations),
-            catalog=self.fleet.catalog,
+            catalog=self._catalog,
             homes=view,
-            owners=owners(tuple(self.fleet.catalog.upstreams.values()), view),
+            owners=owners(tuple(self._catalog.upstreams.values()), view),
         )
 
-    def set_view(self, view: View) -> None:
+    def set_view(self, view: View, catalog: Catalog) -> None:
         if not self.is_alive or view.revision < self._revision:
             return
         self._revision = view.revision
+        self._catalog = catalog
         self._identity.incarnation = self.incarnations[-1]
         now_ms = self.fleet.loop.time() * 1000
         self.run_or_hold(lambda: self.data.set_view(self._view(view), now_ms))
@@ -441,8 +467,35 @@
     resumed_flows: int = 0
     unopened: int = 0
     overdue: int = 0
+    late_flows: int = 0
+    late_runs: list[str] = field(default_factory=list)
+    lost_by_plan: list[str] = field(default_factory=list)
+    violations: list[str] = field(default_factory=list)
+    errors: list[str] = field(default_factory=list)
     events: list[str] = field(default_factory=list)
 
+    def faults(self) -> tuple[str, ...]:
+        """Return the promises that were broken, with what shows it."""
+        return tuple(
+            f'{name}: {found}' for name, found in self._promises().items() if found
+        )
+
+    def _promises(self) -> dict[str, object]:
+        return {
+            'non-idempotent request run twice': self.double_runs,
+            'false not run': self.false_not_run,
+            'wrong answer': self.wrong_answers,
+            'request of another service': self.misrouted,
+            'request overdue': self.overdue,
+            'flow broken': self.broken_flows,
+            'caller not opened': self.unopened,
+            'new flow after the drain bound': self.late_flows,
+            'run started after its deadline': self.late_runs,
+            'outcome unknown after a planned change': self.lost_by_plan,
+            'invariant violated': self.violations,
+            'exception': self.errors,
+        }
+
     def count(self, status: Status) -> int:
         return sum(outcome.status is status for outcome in self.outcomes)
 
@@ -450,13 +503,21 @@
 class Fleet:
     """Instances, upstreams, callers and the events of one run."""
 
-    def __init__(self, loop: VirtualLoop, seed: int) -> None:
+    def __init__(self, loop: VirtualLoop, seed: int, *, is_short_lived: bool) -> None:
         self.loop = loop
         self.generator = random.Random(seed)
         self.network = Network(loop, self.generator)
         loop.network = self.network
         self.settings = parse_settings(SETTINGS_TEXT, 'simulation').unwrap()
+        if is_short_lived:
+            self.settings.flow.cookie_lifetime_ms = COOKIE_LIFETIME_MS
+            self.settings.flow.flow_idle_ms = FLOW_IDLE_MS
         self.report = Report()
+        self.counters: list[Counters] = []
+        self.deadlines_s: dict[str, float] = {}
+        self._brief_calls: list[asyncio.Task[None]] = []
+        self._keys: tuple[KeyRow, ...] = (KeyRow(1, b'k' * 16, is_current=True),)
+        loop.set_exception_handler(self._note_error)
         self.instances: list[SimulatedInstance] = []
         self.upstreams: dict[Endpoint, Upstream] = {}
         self.clients: list[Client] = []
@@ -473,12 +534,17 @@
     def _rows(self) -> Iterator[object]:
         yield PlanRow(PlanName('gold'), 1e6, 10000, 10000, 1e12, 1)
         yield CustomerRow(CUSTOMER, PlanName('gold'), (SECRET,))
-        yield KeyRow(1, b'k' * 16, is_current=True)
+        yield from self._keys
         for service in SERVICES:
             yield ServiceRow(service, (), (), None)
         yield from self._upstream_rows
         yield from self._instance_rows
 
+    def _note_error(self, _loop: asyncio.AbstractEventLoop, context) -> None:
+        error = context.get('exception')
+        if error is not None:
+            self.report.errors.append(repr(error))
+
     def upstream_at(self, address: Endpoint) -> Upstream | None:
         return self.upstreams.get(address)
 
@@ -492,6 +558,7 @@
         self._incarnation += 1
         instance = SimulatedInstance(self, row, self._incarnation)
         self.instances.append(instance)
+        self.counters.append(instance.counters)
         self.network.sprayed.append(instance)
         self.spread_view(0)
         return instance
@@ -517,7 +584,7 @@
         view = self.view()
         for instance in self.instances:
             delay_s = self.generator.uniform(0, longest_s)
-            self.loop.call_later(delay_s, instance.set_view, view)
+            self.loop.call_later(delay_s, instance.set_view, view, self.catalog)
 
     # Events
 
@@ -574,6 +641,89 @@
         link.break_now()
         return f'break a link of {instance.row.name}'
 
+    def drain_upstream(self) -> str:
+        """Publish an upstream as leaving, and as live again later."""
+        rows = self._upstream_rows
+        if any(row.state is OperatorState.LEAVING for row in rows):
+            return 'nothing'
+        row = self.generator.choice(rows)
+        self._publish_upstream(row.name, OperatorState.LEAVING)
+        upstream = self.upstreams[row.address]
+        self.loop.call_later(DRAIN_BOUND_S, self._watch_drained, upstream)
+        live = OperatorState.LIVE
+        self.loop.call_later(DRAINED_S, self._publish_upstream, row.name, live)
+        self._brief_calls += [
+            self.loop.create_task(self._call_briefly(number * 0.5, row.service))
+            for number in range(BRIEF_CALLS)
+        ]
+        return f'drain {row.name}'
+
+    def join(self) -> str:
+        """Start one more instance, which takes upstreams over."""
+        present = {instance.row.name for instance in self.instances}
+        absent = [row for row in self._instance_rows if row.name not in present]
+        if not absent:
+            return 'nothing'
+        self.start_instance(absent[0])
+        self.spread_view(1)
+        return f'join {absent[0].name}'
+
+    def rotate_key(self) -> str:
+        """Accept a second sealing key, make it current, withdraw the first."""
+        if len(self._keys) > 1:
+            return 'nothing'
+        old = self._keys[0]
+        new = KeyRow(old.key_id + 1, bytes((old.key_id,)) * 16, is_current=False)
+        self._publish_keys(old, new)
+        current_s = PUBLISHED_S + 0.5
+        old_accepted = replace(old, is_current=False)
+        new_current = replace(new, is_current=True)
+        self.loop.call_later(current_s, self._publish_keys, new_current, old_accepted)
+        flow = self.settings.flow
+        held_s = (flow.cookie_lifetime_ms + flow.flow_idle_ms) / 1000
+        withdrawn_s = current_s + PUBLISHED_S + held_s
+        self.loop.call_later(withdrawn_s, self._publish_keys, new_current)
+        return f'rotate to key {new.key_id}'
+
+    def _publish_keys(self, *keys: KeyRow) -> None:
+        self._keys = keys
+        self._publish()
+
+    def _publish_upstream(self, name: UpstreamId, state: OperatorState) -> None:
+        self._upstream_rows = [
+            replace(row, state=state) if row.name == name else row
+            for row in self._upstream_rows
+        ]
+        self._publish()
+
+    def _publish(self) -> None:
+        self.catalog = build_catalog(self._rows())
+        self.spread_view(PUBLISHED_S)
+
+    def _watch_drained(self, upstream: Upstream) -> None:
+        opened = upstream.counts['flow_opens_new']
+        # The publication that ends the drain may be read at once.
+        rest_s = DRAINED_S - DRAIN_BOUND_S - 0.01
+        self.loop.call_later(rest_s, self._check_drained, upstream, opened)
+
+    def _check_drained(self, upstream: Upstream, opened: int) -> None:
+        self.report.late_flows += upstream.counts['flow_opens_new'] - opened
+
+    async def _call_briefly(self, wait_s: float, service: ServiceName) -> None:
+        await asyncio.sleep(wait_s)
+        number = len(self.clients)
+        address = Endpoint('10.8.0.1', SERVICES.index(service) + 1)
+        client = Client(address, CUSTOMER, SECRET, ClientOptions())
+        self.clients.append(client)
+        try:
+            await client.open()
+        except OpenError:
+            self.report.unopened += 1
+            return
+        token = self._next_token()
+        await self._ask(client, service, token, 'write', number, token)
+        await client.close()
+
     def _end_loss(self) -> None:
         self.network.faults = Faults()
 
@@ -676,7 +826,8 @@
         payload = json.dumps(header).encode() + b'\n' + body.encode()
         is_idempotent = operation == 'read'
         began_s = self.loop.time()
-        timeout_ms = 6000
+        timeout_ms = REQUEST_TIMEOUT_MS
+        self.deadlines_s[token] = began_s + timeout_ms / 1000
         answer = await client.request(
             payload,
             is_idempotent=is_idempotent,
@@ -710,10 +861,10 @@
             event = self.generator.choice(events)
             described = getattr(self, event)()
             self.report.events.append(f'{self.loop.time() - end_s:.1f} {described}')
-        await asyncio.gather(*calls)
+        await asyncio.gather(*calls, *self._brief_calls)
         await asyncio.sleep(10)
         ticking.cancel()
-        self._collect()
+        self._collect(is_planned=set(events) <= PLANNED)
 
     async def _tick(self) -> None:
         while True:
@@ -721,22 +872,33 @@
                 instance.tick()
             await asyncio.sleep(TICK_S)
 
-    def _collect(self) -> None:
+    def _collect(self, *, is_planned: bool) -> None:
         report = self.report
+        for counters in self.counters:
+            report.violations.extend(
+                name for name in counters.counts() if name.startswith('invariant.')
+            )
         for upstream in self.upstreams.values():
             report.misrouted += upstream.counts['misrouted_requests']
             for execution in upstream.executions:
                 runs = report.executions.get(execution.token, 0)
                 report.executions[execution.token] = runs + 1
+                if execution.started_ms / 1000 > self._latest_start_s(execution):
+                    report.late_runs.append(execution.token)
         for outcome in report.outcomes:
             runs = report.executions.get(outcome.token, 0)
             if runs > 1 and not outcome.is_idempotent:
                 report.double_runs.append(outcome.token)
+            if is_planned and outcome.status is Status.UNKNOWN:
+                report.lost_by_plan.append(f'{outcome.token} {outcome.reason}')
             if runs and outcome.status is Status.NOT_RUN:
                 report.false_not_run.append(f'{outcome.token} {outcome.reason}')
         report.broken_flows = sum(client.counts.broken for client in self.clients)
         report.resumed_flows = sum(client.counts.resumed for client in self.clients)
 
+    def _latest_start_s(self, execution: Execution) -> float:
+        return self.deadlines_s[execution.token] + LATE_S
+
 
 def simulate(
     seed: int,
@@ -752,7 +914,10 @@
     urandom = client_module.os.urandom
     client_module.os.urandom = random.Random(seed).randbytes
     upstream_module.now_ms = lambda: loop.time() * 1000
-    fleet = Fleet(loop, seed)
+    # A key is withdrawn after the cookies' lifetime and the idle time, which must
+    # pass within the run. With faults a flow may be silent for longer than that.
+    is_short_lived = 'rotate_key' in events and set(events) <= PLANNED
+    fleet = Fleet(loop, seed, is_short_lived=is_short_lived)
     try:
         loop.run_until_complete(fleet.run(seconds, callers, events))
     finally:
--- /dev/null
+++ b/tools/fuzz.py
@@ -0,0 +1,101 @@
+"""Run random seeds of the simulation until the time is over.
+
+Usage: ``python -m tools.fuzz --seed N --minutes M [--events a,b]``. Each failing
+seed is printed with its events and the command that repeats it alone; the exit
+code is 1 when a seed failed. ``--once`` runs only the given seed.
+"""
+
+import argparse
+import random
+import sys
+import time
+from collections.abc import Iterator
+
+from loguru import logger
+
+from tests.simulation import EVENTS, Report, simulate
+
+SECONDS = 12.0
+CALLERS = 6
+SECONDS_PER_MINUTE = 60
+LARGEST_SEED = 2**32
+
+
+def main() -> int:
+    """Run the seeds and return the exit code."""
+    options = _parse()
+    if not options.verbose:
+        logger.disable('cardamomtiller')
+    end_s = time.monotonic() + options.minutes * SECONDS_PER_MINUTE
+    runs = failed = 0
+    for seed in _seeds(options.seed):
+        events = options.events
+        if events is None:
+            events = _draw_events(seed)
+        report = simulate(seed, options.seconds, options.callers, events)
+        runs += 1
+        if report.faults():
+            failed += 1
+            command = repeat_command(seed, options.seconds, options.callers, events)
+            print(describe(report, command), flush=True)
+        if options.once or time.monotonic() >= end_s:
+            break
+    print(f'{runs} seeds, {failed} failed')
+    return 1 if failed else 0
+
+
+def repeat_command(
+    seed: int, seconds: float, callers: int, events: tuple[str, ...]
+) -> str:
+    """Return the command line that repeats one run."""
+    chosen = ','.join(events) or 'none'
+    return (
+        f'python -m tools.fuzz --once --seed {seed} --seconds {seconds:g} '
+        f'--callers {callers} --events {chosen}'
+    )
+
+
+def describe(report: Report, command: str) -> str:
+    """Return the lines that show a failed run."""
+    lines = [f'failed: {command}']
+    lines += [f'  {fault}' for fault in report.faults()]
+    lines += [f'  event {event}' for event in report.events]
+    return '\n'.join(lines)
+
+
+def _seeds(first: int) -> Iterator[int]:
+    yield first
+    generator = random.Random(first)
+    while True:
+        yield generator.randrange(LARGEST_SEED)
+
+
+def _draw_events(seed: int) -> tuple[str, ...]:
+    """Return the kinds of one run, in a fixed order."""
+    generator = random.Random(f'events {seed}')
+    chosen = generator.sample(EVENTS, generator.randint(1, len(EVENTS)))
+    return tuple(name for name in EVENTS if name in chosen)
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--minutes', type=float, default=1)
+    parser.add_argument('--seconds', type=float, default=SECONDS, help='virtual time')
+    parser.add_argument('--callers', type=int, default=CALLERS)
+    parser.add_argument('--events', type=_event_names, help='kinds, or none')
+    parser.add_argument('--once', action='store_true', help='run only --seed')
+    parser.add_argument('--verbose', action='store_true', help='show the log')
+    return parser.parse_args()
+
+
+def _event_names(text: str) -> tuple[str, ...]:
+    names = () if text == 'none' else tuple(text.split(','))
+    unknown = set(names) - set(EVENTS)
+    if unknown:
+        raise argparse.ArgumentTypeError(f'unknown events {sorted(unknown)}')
+    return names
+
+
+if __name__ == '__main__':
+    sys.exit(main())
