Show by mutants that the tests of the data path notice faults

Cause: nothing showed that the randomised runs and directed checks would fail if a promise of the data path were broken.

Change: tools/mutants.py applies 18 broken variants and runs for each a trial that must fail with it and pass without it. make test-mutants and make fuzz run the tools. The rotation of the sealing key now holds an idle flow, without which the variant that never refreshes cookies survived.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
+SEED ?= 1
+MINUTES ?= 5
 STAMP := $(VENV)/.installed
 
 .PHONY: all setup test lint format schema binary demo bench bench-policy bench-membership measures fuzz test-mutants clean
@@ -42,5 +44,11 @@
 demo: setup
 	$(BIN)/python -m tools.demo
 
+fuzz: setup
+	$(BIN)/python -m tools.fuzz --seed $(SEED) --minutes $(MINUTES)
+
+test-mutants: setup
+	$(BIN)/python -m tools.mutants
+
 clean:
 	rm -rf build
--- /dev/null
+++ b/tests/home_rig.py
@@ -0,0 +1,145 @@
+"""One home with a recorded link and outlet and a clock set by hand."""
+
+import random
+from dataclasses import dataclass, field
+
+from cardamomtiller.catalog import build_catalog
+from cardamomtiller.cookie import CookieSealer
+from cardamomtiller.counter import Counters
+from cardamomtiller.document import KeyRow, ServiceRow
+from cardamomtiller.home import Arrival, HomeIdentity, HomeOutlet, ServingParts
+from cardamomtiller.identity import Endpoint, FlowId, Incarnation, InstanceId
+from cardamomtiller.invariant import Invariants
+from cardamomtiller.link import UpstreamLink
+from cardamomtiller.record import DuplicateRecord
+from cardamomtiller.serving import ServedUpstream
+from cardamomtiller.settings import parse_settings
+from cardamomtiller.wire_pb2 import (
+    FlowOpened,
+    Hello,
+    Open,
+    Packet,
+    Request,
+    UpstreamFrame,
+)
+from tests.simulation import (
+    CUSTOMER,
+    SERVICES,
+    SETTINGS_TEXT,
+    OpenAdmission,
+    _upstream_row,
+)
+
+FLOW = FlowId(b'f' * 16)
+CALLER = Endpoint('10.9.0.1', 1)
+PAYLOAD = b'{}\n'
+RETENTION_MS = 60_000
+
+
+@dataclass
+class RecordedOutlet(HomeOutlet):
+    """Keep the packets to callers."""
+
+    packets: list[Packet] = field(default_factory=list)
+
+    def send(self, flow, packet):
+        copy = Packet()
+        copy.CopyFrom(packet)
+        self.packets.append(copy)
+
+    def send_load(self, forwarder, upstream):
+        """Nobody asks for the load."""
+
+    def observe(self, row, outcome, latency_ms, now_ms):
+        """Outcomes are not looked at."""
+
+
+@dataclass
+class RecordedLink(UpstreamLink):
+    """Keep the frames to the upstream."""
+
+    frames: list[UpstreamFrame] = field(default_factory=list)
+    is_up = True
+
+    def send(self, frame, service_class):
+        self.frames.append(frame)
+        return True
+
+    async def run(self):
+        """Nothing to run."""
+
+
+class HomeRig:
+    """A home of one upstream that the caller of the rig plays."""
+
+    def __init__(self) -> None:
+        self.now_ms = 1000.0
+        # A pause of the process between reading now_ms and using it.
+        self.paused_ms = 0.0
+        self.outlet = RecordedOutlet()
+        self.link = RecordedLink()
+        self._row = _upstream_row(1, SERVICES[0])
+        key = KeyRow(1, b'k' * 16, is_current=True)
+        catalog = build_catalog([key, ServiceRow(SERVICES[0], (), (), None), self._row])
+        counters = Counters()
+        self._sealer = CookieSealer()
+        self._sealer.set_keys(dict(catalog.keys))
+        parts = ServingParts(
+            home=HomeIdentity(InstanceId('i1'), Incarnation(1)),
+            settings=parse_settings(SETTINGS_TEXT, 'rig').unwrap(),
+            sealer=self._sealer,
+            record=DuplicateRecord(RETENTION_MS),
+            admission=OpenAdmission(),
+            outlet=self.outlet,
+            counters=counters,
+            invariants=Invariants(counters, is_enabled=True),
+            clock_ms=lambda: self.now_ms + self.paused_ms,
+            generator=random.Random(1),
+        )
+        self.home = ServedUpstream(self._row, catalog, parts)
+        self.home.attach(self.link)
+
+    def connect(self, service=SERVICES[0]) -> None:
+        """Let the upstream introduce itself."""
+        hello = Hello(upstream=self._row.name, service=service, incarnation=7)
+        self.home.handle_up(hello)
+
+    def open(self) -> None:
+        """Ask for the flow or its next generation."""
+        self._handle(Packet(open=Open(customer=CUSTOMER)), b'')
+
+    def grant(self, generation: int) -> bytes:
+        """Let the upstream grant a generation; return the cookie."""
+        opened = FlowOpened(flow_id=FLOW, generation=generation)
+        self.home.handle_frame(UpstreamFrame(flow_opened=opened))
+        return self.outlet.packets[-1].cookie
+
+    def request(self, cookie: bytes, *, timeout_ms: int = 1000) -> None:
+        """Deliver a copy of the non-idempotent request 1."""
+        message = Request(
+            request_id=1,
+            timeout_ms=timeout_ms,
+            chunk_count=1,
+            total_bytes=len(PAYLOAD),
+            payload=PAYLOAD,
+        )
+        self._handle(Packet(request=message), cookie)
+
+    def runs(self) -> int:
+        """Return how many times the upstream was asked to run a request."""
+        return self.sent('run_request')
+
+    def sent(self, body: str) -> int:
+        """Return how many frames of a kind went to the upstream."""
+        return sum(frame.WhichOneof('body') == body for frame in self.link.frames)
+
+    def told(self, body: str) -> int:
+        """Return how many packets of a kind went to the caller."""
+        packets = self.outlet.packets
+        return sum(packet.WhichOneof('body') == body for packet in packets)
+
+    def _handle(self, packet: Packet, sealed: bytes) -> None:
+        packet.flow_id = FLOW
+        cookie = self._sealer.open(FLOW, sealed).unwrap() if sealed else None
+        arrival = Arrival(packet, cookie, CUSTOMER, CALLER, b'key')
+        self.home.handle(arrival, self.now_ms)
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -72,7 +72,9 @@
 BRIEF_CALLS = 12
 COOKIE_LIFETIME_MS = 2000
 FLOW_IDLE_MS = 3000
+IDLE_CALL_S = 13.0
 REQUEST_TIMEOUT_MS = 6000
+WORK_MS = (1, 5, 20, 150)
 # A home counts the deadline from the packet's arrival; see the largest delay
 # of `lose_packets` on each of two hops, and the delay of the link.
 LATE_S = 0.15
@@ -679,6 +681,8 @@
         old_accepted = replace(old, is_current=False)
         new_current = replace(new, is_current=True)
         self.loop.call_later(current_s, self._publish_keys, new_current, old_accepted)
+        idle = self.loop.create_task(self._call_after_idling())
+        self._brief_calls.append(idle)
         flow = self.settings.flow
         held_s = (flow.cookie_lifetime_ms + flow.flow_idle_ms) / 1000
         withdrawn_s = current_s + PUBLISHED_S + held_s
@@ -709,7 +713,13 @@
     def _check_drained(self, upstream: Upstream, opened: int) -> None:
         self.report.late_flows += upstream.counts['flow_opens_new'] - opened
 
-    async def _call_briefly(self, wait_s: float, service: ServiceName) -> None:
+    async def _call_after_idling(self) -> None:
+        """Hold a flow that only keepalives use until the old key is gone."""
+        await self._call_briefly(0, SERVICES[0], idle_s=IDLE_CALL_S)
+
+    async def _call_briefly(
+        self, wait_s: float, service: ServiceName, idle_s: float = 0
+    ) -> None:
         await asyncio.sleep(wait_s)
         number = len(self.clients)
         address = Endpoint('10.8.0.1', SERVICES.index(service) + 1)
@@ -720,6 +730,7 @@
         except OpenError:
             self.report.unopened += 1
             return
+        await asyncio.sleep(idle_s)
         token = self._next_token()
         await self._ask(client, service, token, 'write', number, token)
         await client.close()
@@ -821,7 +832,7 @@
             'key': f'caller-{number}',
             'token': token,
             'service': service,
-            'work_ms': self.generator.choice((1, 5, 20, 150)),
+            'work_ms': self.generator.choice(WORK_MS),
         }
         payload = json.dumps(header).encode() + b'\n' + body.encode()
         is_idempotent = operation == 'read'
--- /dev/null
+++ b/tools/mutants.py
@@ -0,0 +1,361 @@
+"""Show that the tests of the data path notice deliberate faults.
+
+Each mutant replaces one function of the real modules by a broken one and runs a
+trial that must then find fault; without the mutant the same trial must find
+none. Prints ``caught`` or ``survived`` for each; the exit code is 1 when one
+survived or when a trial fails without its mutant.
+
+Usage: ``python -m tools.mutants [WORD ...]`` runs those whose name has a word.
+"""
+
+import contextlib
+import sys
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
+
+from loguru import logger
+
+from cardamomtiller import cookie as cookie_module
+from cardamomtiller.client import Client
+from cardamomtiller.cookie import CookieSealer
+from cardamomtiller.home import Home
+from cardamomtiller.identity import Outcome
+from cardamomtiller.record import DuplicateRecord, Verdict
+from cardamomtiller.request import Ending, RequestState
+from cardamomtiller.requestserving import RequestServer
+from cardamomtiller.routing import Router
+from cardamomtiller.selection import Selection
+from cardamomtiller.serving import ServedUpstream
+from cardamomtiller.snapshot import SnapshotStore
+from cardamomtiller.wire_pb2 import AnswerStatus, Reason
+from tests import mutant_trials as trials
+from tools.standins.upstream import Upstream
+
+Trial = Callable[[], tuple[str, ...]]
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """A broken variant and the trial that must notice it."""
+
+    name: str
+    owner: Any
+    attribute: str
+    make: Callable[[Any], Any]
+    trial: Trial
+
+
+def _forget_endings(original):
+    def look_up(self, request, generation):
+        # Running requests stay known, or an invariant would stop every run.
+        verdict = original(self, request, generation)
+        return verdict if verdict is Verdict.RUNNING else Verdict.NEW
+
+    return look_up
+
+
+def _claim_fence(original):
+    def fence(self, request, generation, now_ms):
+        return self.look_up(request, generation) in {Verdict.NEW, Verdict.FENCED}
+
+    return fence
+
+
+def _no_fence(original):
+    def fence_queued(self, request, generation, now_ms):
+        """Leave the record as it is."""
+
+    return fence_queued
+
+
+def _any_generation(original):
+    def flow_of(self, arrival, now_ms):
+        row = self.home.flows.rows.get(arrival.flow)
+        return row or original(self, arrival, now_ms)
+
+    return flow_of
+
+
+def _unfenced_upstream(original):
+    def refusal(self, message):
+        reason = original(self, message)
+        return None if reason == Reason.REASON_STALE_GENERATION else reason
+
+    return refusal
+
+
+def _lost_as_not_run(original):
+    def lose_run(self, request, now_ms):
+        if request.is_idempotent:
+            original(self, request, now_ms)
+            return
+        self._finish_run(request, Outcome.FAILED, now_ms)
+        status = AnswerStatus.ANSWER_STATUS_NOT_RUN
+        self._end(request, Ending(status, Reason.REASON_LINK_LOST), now_ms)
+
+    return lose_run
+
+
+def _lost_is_retried(original):
+    def lose_run(self, request, now_ms):
+        is_idempotent = request.is_idempotent
+        request.is_idempotent = True
+        original(self, request, now_ms)
+        request.is_idempotent = is_idempotent
+
+    return lose_run
+
+
+def _any_socket(original):
+    def route_cookie(self, inbound, cookie):
+        return original(self, replace(inbound, service=cookie.service), cookie)
+
+    return route_cookie
+
+
+def _any_hello(original):
+    def handle_up(self, hello):
+        hello.service, hello.upstream = self.row.service, self.row.name
+        original(self, hello)
+
+    return handle_up
+
+
+def _any_answer(original):
+    def handle_answer(self, packet):
+        outstanding = self._outstanding.get(packet.answer.request_id)
+        if outstanding:
+            packet.generation = outstanding.generation
+        original(self, packet)
+
+    return handle_answer
+
+
+def _no_deadline(original):
+    def run(self, work, now_ms):
+        request = self.requests.get(work.request)
+        if request:
+            request.deadline_ms += trials.HOUR_MS
+        original(self, work, now_ms)
+
+    return run
+
+
+def _any_version(original):
+    def offer(self, document, now_ms):
+        self._held.pop(document.name, None)
+        return original(self, document, now_ms)
+
+    return offer
+
+
+def _cut_on_stop(original):
+    def retire(self, now_ms):
+        original(self, now_ms)
+        for request in tuple(self.requests.values()):
+            if request.state is RequestState.RUNNING:
+                self._abandon(request, now_ms)
+
+    return retire
+
+
+def _no_mac(original):
+    return SimpleNamespace(compare_digest=lambda expected, found: True)
+
+
+def _leaving_chosen(original):
+    def list_eligible(self):
+        original(self)
+        self._eligible = tuple(self._upstreams.values())
+
+    return list_eligible
+
+
+def _current_key_only(original):
+    def set_keys(self, keys):
+        original(self, {name: row for name, row in keys.items() if row.is_current})
+
+    return set_keys
+
+
+def _no_refresh(original):
+    def send_cookie(self, row, packet, now_ms):
+        is_for_request = packet.refresh.request_id
+        if packet.WhichOneof('body') != 'refresh' or is_for_request:
+            original(self, row, packet, now_ms)
+
+    return send_cookie
+
+
+MUTANTS = (
+    Mutant(
+        'duplicate record answers NEW for every ended request',
+        DuplicateRecord,
+        'look_up',
+        _forget_endings,
+        trials.runs('lose_packets', seeds=trials.FEW_SEEDS),
+    ),
+    Mutant(
+        'Moved is sent without fencing the request',
+        DuplicateRecord,
+        'fence',
+        _claim_fence,
+        trials.moved_request_comes_again,
+    ),
+    Mutant(
+        'Moved is sent for a queued request without fencing it',
+        DuplicateRecord,
+        'fence_queued',
+        _no_fence,
+        trials.queued_request_comes_again,
+    ),
+    Mutant(
+        'home ignores generations',
+        ServedUpstream,
+        '_flow_of',
+        _any_generation,
+        trials.old_home_gets_request,
+    ),
+    Mutant(
+        'upstream stand-in ignores generations',
+        Upstream,
+        '_refusal',
+        _unfenced_upstream,
+        trials.old_home_runs_late,
+    ),
+    Mutant(
+        'upstream stand-in ignores generations, in a random run',
+        Upstream,
+        '_refusal',
+        _unfenced_upstream,
+        trials.runs('pause', 'flap_views', 'lose_packets', seeds=trials.FENCING_SEEDS),
+    ),
+    Mutant(
+        'lost run of a non-idempotent request is answered as not run',
+        RequestServer,
+        '_lose_run',
+        _lost_as_not_run,
+        trials.runs('break_link', seeds=trials.FEW_SEEDS),
+    ),
+    Mutant(
+        'lost run of a non-idempotent request is retried',
+        RequestServer,
+        '_lose_run',
+        _lost_is_retried,
+        trials.runs('break_link', seeds=trials.FEW_SEEDS),
+    ),
+    Mutant(
+        'router ignores the service of the socket',
+        Router,
+        '_route_cookie',
+        _any_socket,
+        trials.cookie_on_foreign_socket,
+    ),
+    Mutant(
+        'home does not check the service of the hello',
+        ServedUpstream,
+        'handle_up',
+        _any_hello,
+        trials.wrong_upstream_connects,
+    ),
+    Mutant(
+        'client takes answers of any generation',
+        Client,
+        '_handle_answer',
+        _any_answer,
+        trials.answer_of_old_generation,
+    ),
+    Mutant(
+        'deadline is not checked before a run',
+        RequestServer,
+        '_run',
+        _no_deadline,
+        trials.pause_before_run,
+    ),
+    Mutant(
+        'snapshot takes lower versions',
+        SnapshotStore,
+        'offer',
+        _any_version,
+        trials.older_document_arrives,
+    ),
+    Mutant(
+        'graceful stop cuts running requests off',
+        RequestServer,
+        'retire',
+        _cut_on_stop,
+        trials.runs('stop', seeds=trials.FEW_SEEDS),
+    ),
+    Mutant(
+        'MAC of cookies is not checked',
+        cookie_module,
+        'hmac',
+        _no_mac,
+        trials.forged_cookie,
+    ),
+    Mutant(
+        'leaving upstreams are chosen for new flows',
+        Selection,
+        '_list_eligible',
+        _leaving_chosen,
+        trials.runs('drain_upstream', seconds=12, seeds=trials.FEW_SEEDS),
+    ),
+    Mutant(
+        'only the current sealing key opens cookies',
+        CookieSealer,
+        'set_keys',
+        _current_key_only,
+        trials.runs('rotate_key', seconds=20, seeds=trials.FEW_SEEDS),
+    ),
+    Mutant(
+        'keepalives do not refresh cookies',
+        Home,
+        'send_cookie',
+        _no_refresh,
+        trials.runs('rotate_key', seconds=20, seeds=trials.FEW_SEEDS),
+    ),
+)
+
+
+def main() -> int:
+    """Try all mutants, or those named in the arguments."""
+    logger.disable('cardamomtiller')
+    words = sys.argv[1:]
+    chosen = [row for row in MUTANTS if not words or _has_word(row, words)]
+    sound = {row.trial: row.trial() for row in chosen}
+    failed = 0
+    for mutant in chosen:
+        began_s = time.monotonic()
+        faults = sound[mutant.trial]
+        if faults:
+            verdict = 'trial fails without the mutant'
+        else:
+            with _applied(mutant):
+                faults = mutant.trial()
+            verdict = 'caught' if faults else 'survived'
+        failed += verdict != 'caught'
+        took_s = time.monotonic() - began_s
+        print(f'{verdict}: {mutant.name} ({took_s:.1f} s)')
+        for fault in faults:
+            print(f'  {fault:.160}')
+    print(f'{len(chosen) - failed} caught, {failed} not caught')
+    return 1 if failed or not chosen else 0
+
+
+def _has_word(mutant: Mutant, words: list[str]) -> bool:
+    return any(word in mutant.name for word in words)
+
+
+@contextlib.contextmanager
+def _applied(mutant: Mutant) -> Iterator[None]:
+    original = getattr(mutant.owner, mutant.attribute)
+    with mock.patch.object(mutant.owner, mutant.attribute, mutant.make(original)):
+        yield
+
+
+if __name__ == '__main__':
+    sys.exit(main())
