Split the peer and membership modules by job

Cause: peer.py (972 lines) and membership.py (835 lines) each held several jobs, so that a newcomer had to read both in full.

Change: peer.py becomes sealing, gate, exchangeparts, fetching, exchanger, peertransport and peer; membership.py becomes view, membershipoptions, rumor, membertable, topology, lateness, gossip, probing and membership. Importers, import layers and the module table follow. No behaviour is changed.

--- a/src/cardamomtiller/exchange.py
+++ b/src/cardamomtiller/exchange.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable, Iterable, Iterator
 
 from cardamomtiller.document import UpstreamRow
+from cardamomtiller.exchangeparts import ExchangePart
 from cardamomtiller.identity import InstanceId, ServiceName, UpstreamId
 from cardamomtiller.lease import LeaseAgent
-from cardamomtiller.peer import ExchangePart
 from cardamomtiller.peer_pb2 import Exchange, LeaseGrant, LeaseReport, ServedLoad
 from cardamomtiller.wire_pb2 import UpstreamLoad
 
--- /dev/null
+++ b/src/cardamomtiller/fetching.py
@@ -0,0 +1,99 @@
+"""Documents that peers pass on: when they are fetched and how they are packed."""
+
+import zlib
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from google.protobuf.message import DecodeError
+
+from cardamomtiller.counter import Counters
+from cardamomtiller.document import LARGEST_DOCUMENT_BYTES, Document
+from cardamomtiller.identity import DocumentName, Version
+from cardamomtiller.peer_pb2 import FetchedDocuments, PublishedDocument
+
+# Documents of one answer, so that it stays under LARGEST_FETCH_BYTES.
+FETCH_ANSWER_BYTES = 2_500_000
+# The same pair of digests is not fetched again before this time.
+FETCH_AGAIN_MS = 10_000.0
+
+
+@dataclass(slots=True)
+class FetchGuard:
+    """
+    Decide when documents are fetched from a peer whose digest differs.
+
+    One fetch runs at a time. A pair of digests that was tried is not tried again
+    for a while: the peer may be the older one, or hold what is refused here.
+    """
+
+    is_running: bool = False
+    tried_ms: dict[tuple[bytes, bytes], float] = field(default_factory=dict)
+
+    def begin(self, pair: tuple[bytes, bytes], now_ms: float) -> bool:
+        """Return whether to fetch now; ``pair`` is the peer's and the own digest."""
+        if pair[0] == pair[1] or self.is_running:
+            return False
+        self.tried_ms = {
+            tried: at_ms
+            for tried, at_ms in self.tried_ms.items()
+            if now_ms - at_ms < FETCH_AGAIN_MS
+        }
+        if pair in self.tried_ms:
+            return False
+        self.tried_ms[pair] = now_ms
+        self.is_running = True
+        return True
+
+    def end(self, pair: tuple[bytes, bytes], *, is_answered: bool) -> None:
+        """Take note of the end of a fetch; without an answer it may be repeated."""
+        self.is_running = False
+        if not is_answered:
+            self.tried_ms.pop(pair, None)
+
+
+def pack_documents(documents: Iterable[Document]) -> Iterator[PublishedDocument]:
+    """Compress documents, at most about ``FETCH_ANSWER_BYTES`` of them."""
+    total_bytes = 0
+    for document in documents:
+        text = zlib.compress(document.text.encode())
+        total_bytes += len(text)
+        if total_bytes > FETCH_ANSWER_BYTES:
+            return
+        yield PublishedDocument(
+            name=document.name,
+            version=document.version,
+            compressed_text=text,
+        )
+
+
+def unpack_documents(payload: bytes, counters: Counters) -> Iterator[Document]:
+    """Expand the documents of an answer; one that is malformed is counted."""
+    try:
+        answer = FetchedDocuments.FromString(payload)
+    except DecodeError:
+        counters.add('peer.malformed_answer')
+        return
+    for row in answer.documents:
+        text = _expand(row.compressed_text)
+        if text is None:
+            counters.add('peer.malformed_document')
+            continue
+        yield Document(DocumentName(row.name), Version(row.version), text)
+
+
+def _expand(compressed: bytes) -> str | None:
+    expander = zlib.decompressobj()
+    try:
+        text = expander.decompress(compressed, LARGEST_DOCUMENT_BYTES + 1)
+    except zlib.error:
+        return None
+    if len(text) > LARGEST_DOCUMENT_BYTES or not expander.eof:
+        return None
+    return _decode(text)
+
+
+def _decode(text: bytes) -> str | None:
+    try:
+        return text.decode()
+    except UnicodeDecodeError:
+        return None
--- /dev/null
+++ b/src/cardamomtiller/gate.py
@@ -0,0 +1,154 @@
+"""Gate in front of the control code: which sealed requests are taken."""
+
+from dataclasses import dataclass, field
+
+from google.protobuf.message import DecodeError
+from returns.result import Failure, Result, Success
+
+from cardamomtiller.counter import Counters
+from cardamomtiller.identity import MS_PER_S
+from cardamomtiller.membership import Membership
+from cardamomtiller.peer_pb2 import Exchange, FetchDocuments, Sealed
+from cardamomtiller.sealing import OLDEST_SCHEMA_VERSION, Context, MessageKind, Sealer
+
+# A peer needs a few exchanges a second; the rest is a fault or an attack.
+EXCHANGES_PER_S = 40
+FETCHES_PER_S = 10
+NONCE_WINDOW_BITS = 64
+
+
+@dataclass(slots=True)
+class SenderHistory:
+    """Nonces and rate of the requests of one sender."""
+
+    incarnation: int = 0
+    highest: int = 0
+    window: int = 0
+    second: int = 0
+    in_second: int = 0
+
+    def is_new(self, incarnation: int, nonce: int) -> bool:
+        """Take note of a nonce and return whether it was not used before."""
+        if incarnation != self.incarnation:
+            self.incarnation = incarnation
+            self.highest = nonce
+            self.window = 1
+            return True
+        if nonce > self.highest:
+            shift = min(nonce - self.highest, NONCE_WINDOW_BITS)
+            self.window = (self.window << shift | 1) & ((1 << NONCE_WINDOW_BITS) - 1)
+            self.highest = nonce
+            return True
+        bit = 1 << min(self.highest - nonce, NONCE_WINDOW_BITS)
+        if bit >> NONCE_WINDOW_BITS or self.window & bit:
+            return False
+        self.window |= bit
+        return True
+
+    def is_within(self, limit: int, now_ms: float) -> bool:
+        """Count a request and return whether this second's limit holds."""
+        second = int(now_ms // MS_PER_S)
+        if second != self.second:
+            self.second = second
+            self.in_second = 0
+        self.in_second += 1
+        return self.in_second <= limit
+
+
+@dataclass(slots=True)
+class Gate:
+    """
+    Decide whether a sealed request is taken, without I/O.
+
+    Senders are remembered only after their MAC was verified, so their number is
+    bounded by the holders of the cluster key.
+    """
+
+    sealer: Sealer
+    membership: Membership
+    counters: Counters
+    received: dict[str, SenderHistory] = field(default_factory=dict)
+    fetched: dict[str, SenderHistory] = field(default_factory=dict)
+
+    def open_exchange(
+        self,
+        sealed: Sealed,
+        now_ms: float,
+    ) -> Result[Exchange, str]:
+        """
+        Check a request and return its exchange.
+
+        A request that does not name this process may be a replay from before a
+        restart, so only its rumours are kept, which are ordered by themselves.
+
+        Returns
+        -------
+        Result
+            The exchange, or the reason for its refusal.
+        """
+        is_bound = self._is_bound(sealed)
+        if is_bound is None:
+            return self._refuse('forged')
+        try:
+            exchange = Exchange.FromString(sealed.payload)
+        except DecodeError:
+            return self._refuse('malformed')
+        if exchange.schema_version < OLDEST_SCHEMA_VERSION:
+            self.counters.add('peer.old_schema')
+            return Failure(
+                f'schema version {exchange.schema_version} is not supported, '
+                f'the oldest is {OLDEST_SCHEMA_VERSION}'
+            )
+        if not exchange.sender or exchange.sender == self.membership.name:
+            return self._refuse('malformed')
+        return self._admit(exchange, now_ms, is_bound=is_bound)
+
+    def open_fetch(
+        self,
+        sealed: Sealed,
+        now_ms: float,
+    ) -> Result[FetchDocuments, str]:
+        """Check a request for documents; see ``open_exchange``."""
+        if not self.sealer.is_authentic(sealed, Context(MessageKind.FETCH)):
+            return self._refuse('forged')
+        try:
+            request = FetchDocuments.FromString(sealed.payload)
+        except DecodeError:
+            return self._refuse('malformed')
+        if request.schema_version < OLDEST_SCHEMA_VERSION:
+            return self._refuse('old_schema')
+        received = self.fetched.setdefault(request.sender, SenderHistory())
+        if not received.is_within(FETCHES_PER_S, now_ms):
+            return self._refuse('too_many')
+        return Success(request)
+
+    def _is_bound(self, sealed: Sealed) -> bool | None:
+        name = self.membership.name
+        for incarnation in (*self.membership.own_incarnations, 0):
+            context = Context(MessageKind.EXCHANGE, name, incarnation)
+            if self.sealer.is_authentic(sealed, context):
+                return incarnation > 0
+        return None
+
+    def _admit(
+        self,
+        exchange: Exchange,
+        now_ms: float,
+        *,
+        is_bound: bool,
+    ) -> Result[Exchange, str]:
+        received = self.received.setdefault(exchange.sender, SenderHistory())
+        if not received.is_within(EXCHANGES_PER_S, now_ms):
+            return self._refuse('too_many')
+        if is_bound and exchange.incarnation >= received.incarnation:
+            if not received.is_new(exchange.incarnation, exchange.nonce):
+                return self._refuse('replayed')
+            return Success(exchange)
+        self.counters.add('peer.unbound')
+        for name in ('lease_reports', 'lease_grants', 'loads'):
+            exchange.ClearField(name)
+        return Success(exchange)
+
+    def _refuse(self, reason: str) -> Failure[str]:
+        self.counters.add(f'peer.{reason}')
+        return Failure(reason)
--- a/src/cardamomtiller/instance.py
+++ b/src/cardamomtiller/instance.py
@@ -13,7 +13,7 @@
 
 from loguru import logger
 
-from cardamomtiller import ini, membership, reader
+from cardamomtiller import ini, membershipoptions, reader
 from cardamomtiller.admission import Admission, Permit
 from cardamomtiller.allowance import NOTHING
 from cardamomtiller.assignment import OwnerTable
@@ -23,6 +23,7 @@
 from cardamomtiller.dataplane import DataPlane
 from cardamomtiller.document import InstanceRow
 from cardamomtiller.exchange import LeasePart, LoadPart
+from cardamomtiller.exchangeparts import ControlParts
 from cardamomtiller.home import HomeIdentity, ServingParts
 from cardamomtiller.identity import (
     MS_PER_S,
@@ -40,12 +41,13 @@
 from cardamomtiller.invariant import Invariants
 from cardamomtiller.lease import LeaseAgent
 from cardamomtiller.log import LogFormat, set_up_log
-from cardamomtiller.membership import Membership, make_incarnation
-from cardamomtiller.peer import ControlParts, Peer, PeerOptions
+from cardamomtiller.membership import Membership
+from cardamomtiller.peer import Peer, PeerOptions
 from cardamomtiller.reader import Intake, Reader, choose_role
 from cardamomtiller.record import DuplicateRecord
 from cardamomtiller.relay import FewestConnections, Relay, RelayOptions, StreamLimit
 from cardamomtiller.routing import RoutingView
+from cardamomtiller.rumor import make_incarnation
 from cardamomtiller.serving import ServedUpstream
 from cardamomtiller.settings_pb2 import Settings
 from cardamomtiller.snapshot import SnapshotStore
@@ -95,7 +97,7 @@
         incarnation = make_incarnation(unix_ms, entropy)
         self.membership = Membership(
             self.row,
-            membership.read_options(settings.membership),
+            membershipoptions.read_options(settings.membership),
             incarnation,
             now_ms,
             self.count,
--- /dev/null
+++ b/src/cardamomtiller/membershipoptions.py
@@ -0,0 +1,32 @@
+"""Times and sizes of the membership protocol."""
+
+from dataclasses import dataclass
+
+from cardamomtiller.settings_pb2 import MembershipSettings
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipOptions:
+    """Times and sizes of the membership protocol."""
+
+    probe_interval_ms: float
+    probe_timeout_ms: float
+    suspect_ms: float
+    probe_successors: int
+    late_wake_ms: float
+
+    @property
+    def alone_ms(self) -> float:
+        """Time without any reachable peer after which an instance serves alone."""
+        return self.suspect_ms + 2 * self.probe_interval_ms
+
+
+def read_options(settings: MembershipSettings) -> MembershipOptions:
+    """Return the options that stand in the settings."""
+    return MembershipOptions(
+        probe_interval_ms=settings.probe_interval_ms,
+        probe_timeout_ms=settings.probe_timeout_ms,
+        suspect_ms=settings.suspect_ms,
+        probe_successors=settings.probe_successors,
+        late_wake_ms=settings.late_wake_ms,
+    )
--- /dev/null
+++ b/src/cardamomtiller/membertable.py
@@ -0,0 +1,142 @@
+"""Table of the instances that this instance knows, with its checksum."""
+
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from cardamomtiller.document import InstanceRow
+from cardamomtiller.identity import (
+    DomainName,
+    Incarnation,
+    InstanceId,
+    OperatorState,
+    RegionName,
+)
+from cardamomtiller.peer_pb2 import MemberRumor
+from cardamomtiller.rumor import UNHEARD, checksum_rumor, wire_state
+from cardamomtiller.view import InstanceState, Member, View
+
+
+@dataclass(slots=True)
+class MemberRecord:
+    """What is known about one instance, and how."""
+
+    row: InstanceRow
+    known_ms: float
+    is_published: bool = True
+    state: InstanceState = InstanceState.JOINING
+    incarnation: Incarnation = UNHEARD
+    revision: int = 0
+    is_leaving: bool = False
+    suspected_ms: float = 0
+    is_observer: bool = False
+    failures: int = 0
+
+    @property
+    def is_heard_of(self) -> bool:
+        """Return whether the instance has ever been heard of."""
+        return self.incarnation > 0
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the instance is not expected to answer."""
+        return self.state is InstanceState.DEAD or not self.is_heard_of
+
+    @property
+    def is_serving(self) -> bool:
+        """Return whether the instance owns upstreams."""
+        if not self.is_published or self.row.state is OperatorState.LEAVING:
+            return False
+        if self.state is InstanceState.SUSPECT:
+            return not self.is_leaving
+        return self.state is InstanceState.LIVE
+
+    def visible_state(self) -> InstanceState:
+        """Return the state that views show."""
+        is_active = self.state in {InstanceState.LIVE, InstanceState.JOINING}
+        if is_active and self.row.state is OperatorState.LEAVING:
+            return InstanceState.LEAVING
+        return self.state
+
+    def checksum(self) -> int:
+        """Return the part of this record in the table checksum."""
+        if not self.is_heard_of or not self.is_published:
+            return 0
+        return checksum_rumor(self.rumor())
+
+    def rumor(self) -> MemberRumor:
+        """Return what is told to others."""
+        return MemberRumor(
+            instance=self.row.name,
+            incarnation=self.incarnation,
+            state=wire_state(self.state),
+            revision=self.revision,
+        )
+
+
+class MemberTable:
+    """Records of the published instances and of the own one, and their checksum."""
+
+    def __init__(
+        self, row: InstanceRow, incarnation: Incarnation, now_ms: float
+    ) -> None:
+        """Start with the own record, which is not published yet."""
+        self.own = MemberRecord(
+            row, now_ms, is_published=False, incarnation=incarnation
+        )
+        self.records: dict[InstanceId, MemberRecord] = {row.name: self.own}
+        self.checksum = 0
+
+    @contextmanager
+    def changing(self, record: MemberRecord) -> Iterator[None]:
+        """Keep the checksum right while a record of the table is changed."""
+        self.checksum ^= record.checksum()
+        yield
+        self.checksum ^= record.checksum()
+
+    def set_rows(
+        self,
+        published: Mapping[InstanceId, InstanceRow],
+        now_ms: float,
+    ) -> list[InstanceId]:
+        """Take the published list and return the instances that are forgotten."""
+        own_name = self.own.row.name
+        gone = [
+            name for name in self.records if name not in published and name != own_name
+        ]
+        for name in gone:
+            self.checksum ^= self.records.pop(name).checksum()
+        for name, row in published.items():
+            record = self.records.get(name)
+            if record is None:
+                self.records[name] = MemberRecord(row, now_ms)
+                continue
+            with self.changing(record):
+                record.row = row
+                record.is_published = True
+        if own_name not in published:
+            with self.changing(self.own):
+                self.own.is_published = False
+        return gone
+
+    def build_view(self, revision: int) -> View:
+        """Return the view of all published instances."""
+        members: dict[InstanceId, Member] = {}
+        serving: dict[DomainName, list[InstanceId]] = {}
+        regions: dict[RegionName, list[InstanceId]] = {}
+        for name in sorted(self.records):
+            record = self.records[name]
+            if not record.is_published:
+                continue
+            members[name] = Member(
+                record.row, record.visible_state(), record.incarnation
+            )
+            if record.is_serving:
+                serving.setdefault(record.row.domain, []).append(name)
+                regions.setdefault(record.row.region, []).append(name)
+        return View(
+            revision=revision,
+            members=members,
+            serving={key: tuple(names) for key, names in serving.items()},
+            regions={key: tuple(names) for key, names in regions.items()},
+        )
--- /dev/null
+++ b/src/cardamomtiller/peertransport.py
@@ -0,0 +1,178 @@
+"""HTTP/2 connections between instances, with bounded messages."""
+
+import asyncio
+import struct
+from typing import cast
+
+from google.protobuf.message import DecodeError
+from grpclib import exceptions
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.config import Configuration
+from grpclib.const import Status
+from grpclib.protocol import H2Protocol
+from grpclib.protocol import Stream as ProtocolStream
+from grpclib.server import Server, Stream
+
+from cardamomtiller.counter import Counters
+from cardamomtiller.identity import MS_PER_S, Endpoint
+from cardamomtiller.peer_pb2 import Sealed
+
+LARGEST_EXCHANGE_BYTES = 65_536
+LARGEST_FETCH_BYTES = 4_000_000
+# Time in which the body of a request must have arrived.
+READ_TIMEOUT_MS = 2_000.0
+FRAME_HEADER = struct.Struct('>?I')
+WINDOW_BYTES = 262_144
+H2_OPTIONS = Configuration(
+    http2_connection_window_size=WINDOW_BYTES,
+    http2_stream_window_size=WINDOW_BYTES,
+)
+CALL_ERRORS = (
+    OSError,
+    exceptions.GRPCError,
+    exceptions.StreamTerminatedError,
+    exceptions.ProtocolError,
+    EOFError,
+)
+
+
+class _GatheringTransport(asyncio.Transport):
+    """
+    Transport that sends what one step of the event loop writes as one segment.
+
+    grpclib writes each frame by itself; a unary call would need five segments.
+    """
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        super().__init__()
+        self._transport = transport
+        self._held = bytearray()
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        if not self._held:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._held += data
+
+    def close(self) -> None:
+        self._flush()
+        self._transport.close()
+
+    def is_closing(self) -> bool:
+        return self._transport.is_closing()
+
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        return self._transport.get_extra_info(name, default)
+
+    def _flush(self) -> None:
+        if self._held:
+            self._transport.write(bytes(self._held))
+            self._held.clear()
+
+
+class _Protocol(H2Protocol):
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        gathering = _GatheringTransport(cast(asyncio.Transport, transport))
+        super().connection_made(gathering)
+
+
+class _Channel(Channel):
+    def _protocol_factory(self) -> H2Protocol:
+        made = super()._protocol_factory()
+        return _Protocol(made.handler, made.config, made.h2_config)
+
+
+class PeerServer(Server):
+    """Server that bounds its connections and closes them when it is closed."""
+
+    def _protocol_factory(self) -> H2Protocol:
+        # grpclib leaves established connections open after ``close``, so a peer
+        # would not learn that this instance has stopped.
+        made = super()._protocol_factory()
+        protocol = _Protocol(made.handler, made.config, made.h2_config)
+        held = getattr(self, '_protocols', ())
+        self._protocols = [row for row in held if not _is_closed(row)]
+        self._protocols.append(protocol)
+        return protocol
+
+    def close(self) -> None:
+        """Close the listening socket and all connections."""
+        super().close()
+        for protocol in getattr(self, '_protocols', ()):
+            if getattr(protocol, 'connection', None) is not None:
+                protocol.connection.close()
+
+
+def open_channel(address: Endpoint) -> Channel:
+    """Return a channel to a peer; it connects at the first call."""
+    return _Channel(address.host, address.port, config=H2_OPTIONS)
+
+
+async def read_request(
+    stream: Stream[Sealed, Sealed],
+    limit_bytes: int,
+    counters: Counters,
+) -> Sealed:
+    """
+    Return the message of a request.
+
+    Raises
+    ------
+    GRPCError
+        If it is slow, too long or malformed.
+    """
+    try:
+        async with asyncio.timeout(READ_TIMEOUT_MS / MS_PER_S):
+            return await _read_bounded(stream._stream, limit_bytes)
+    except TimeoutError as error:
+        counters.add('peer.slow')
+        raise exceptions.GRPCError(
+            Status.DEADLINE_EXCEEDED, 'request is not complete'
+        ) from error
+    except ValueError as error:
+        counters.add('peer.oversized')
+        raise exceptions.GRPCError(Status.RESOURCE_EXHAUSTED, str(error)) from error
+    except DecodeError as error:
+        counters.add('peer.malformed')
+        raise exceptions.GRPCError(Status.INVALID_ARGUMENT, 'malformed') from error
+
+
+async def call_bounded(
+    method: UnaryUnaryMethod[Sealed, Sealed],
+    request: Sealed,
+    limit_bytes: int,
+) -> Sealed:
+    """
+    Send a request and return the answer.
+
+    Raises
+    ------
+    OSError, EOFError, GRPCError, StreamTerminatedError, ProtocolError
+        If there is no usable answer; see ``CALL_ERRORS``.
+    """
+    async with method.open() as stream:
+        await stream.send_message(request, end=True)
+        await stream.recv_initial_metadata()
+        try:
+            answer = await _read_bounded(stream._stream, limit_bytes)
+        except (ValueError, DecodeError) as error:
+            raise exceptions.ProtocolError(f'unusable answer: {error}') from error
+        await stream.recv_trailing_metadata()
+        return answer
+
+
+def _is_closed(protocol: H2Protocol) -> bool:
+    # The connection is absent until asyncio reports that it is made.
+    connection = getattr(protocol, 'connection', None)
+    return connection is not None and connection.is_closing()
+
+
+async def _read_bounded(stream: ProtocolStream, limit_bytes: int) -> Sealed:
+    # grpclib reads a message of any announced length into memory, so the
+    # length is checked here first.
+    header = await stream.recv_data(FRAME_HEADER.size)
+    if len(header) < FRAME_HEADER.size:
+        raise exceptions.ProtocolError('no message')
+    is_compressed, length = FRAME_HEADER.unpack(header)
+    if is_compressed or length > limit_bytes:
+        raise ValueError(f'message of {length} bytes, at most {limit_bytes} allowed')
+    return Sealed.FromString(await stream.recv_data(length))
--- a/src/cardamomtiller/reader.py
+++ b/src/cardamomtiller/reader.py
@@ -19,11 +19,11 @@
     InstanceId,
     Version,
 )
-from cardamomtiller.membership import View
 from cardamomtiller.rendezvous import rank
 from cardamomtiller.settings_pb2 import SourceSettings
 from cardamomtiller.snapshot import Offer, SnapshotStore
 from cardamomtiller.source import ConfigurationSource, Listing
+from cardamomtiller.view import View
 
 FIRST_BACKOFF_MS = 250.0
 LARGEST_BACKOFF_MS = 15_000.0
--- a/src/cardamomtiller/routing.py
+++ b/src/cardamomtiller/routing.py
@@ -18,8 +18,8 @@
     ServiceName,
     UpstreamId,
 )
-from cardamomtiller.membership import View
 from cardamomtiller.selection import Selection
+from cardamomtiller.view import View
 from cardamomtiller.wire_pb2 import Cookie, Packet, Reason
 
 LARGEST_HOPS = 2
--- /dev/null
+++ b/src/cardamomtiller/sealing.py
@@ -0,0 +1,96 @@
+"""Seal and open control messages with the cluster keys."""
+
+import hashlib
+import hmac
+import struct
+from dataclasses import dataclass
+from enum import Enum
+
+from google.protobuf.message import Message
+
+from cardamomtiller.peer_pb2 import Exchange, FetchDocuments, Sealed
+
+SCHEMA_VERSION = 1
+OLDEST_SCHEMA_VERSION = 1
+MAC_BYTES = 16
+CONTEXT = struct.Struct('>BQQ')
+
+
+class MessageKind(Enum):
+    """Kind of a sealed message; part of what its MAC covers."""
+
+    EXCHANGE = 1
+    EXCHANGE_ANSWER = 2
+    FETCH = 3
+    FETCH_ANSWER = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Context:
+    """
+    What a MAC covers besides the payload; it is known to both ends and not sent.
+
+    It binds a message to its receiver, to the process of the receiver and, for
+    an answer, to the request.
+    """
+
+    kind: MessageKind
+    receiver: str = ''
+    receiver_incarnation: int = 0
+    answered_nonce: int = 0
+    sender: str = ''
+
+    def encode(self) -> bytes:
+        """Return the bytes that the MAC covers first."""
+        head = CONTEXT.pack(
+            self.kind.value, self.receiver_incarnation, self.answered_nonce
+        )
+        names = (self.receiver.encode(), self.sender.encode())
+        return head + b''.join(bytes((min(len(name), 255),)) + name for name in names)
+
+
+class Sealer:
+    """Seal and open control messages with the cluster keys."""
+
+    def __init__(self, keys: tuple[bytes, ...]) -> None:
+        """Take the keys; the first one seals, all of them open."""
+        self._keys = keys
+
+    def seal(self, message: Message, context: Context) -> Sealed:
+        """Return the envelope of a message."""
+        payload = message.SerializeToString()
+        mac = _mac(self._keys[0], context, payload)
+        return Sealed(payload=payload, mac=mac)
+
+    def is_authentic(self, sealed: Sealed, context: Context) -> bool:
+        """Return whether one of the keys sealed this message for a context."""
+        return any(
+            hmac.compare_digest(_mac(key, context, sealed.payload), sealed.mac)
+            for key in self._keys
+        )
+
+
+def answer_context(request: Exchange, answerer: str) -> Context:
+    """Return the context of the answer to an exchange."""
+    return Context(
+        MessageKind.EXCHANGE_ANSWER,
+        receiver=request.sender,
+        receiver_incarnation=request.incarnation,
+        answered_nonce=request.nonce,
+        sender=answerer,
+    )
+
+
+def fetch_context(request: FetchDocuments) -> Context:
+    """Return the context of the answer to a request for documents."""
+    return Context(
+        MessageKind.FETCH_ANSWER,
+        receiver=request.sender,
+        answered_nonce=request.nonce,
+    )
+
+
+def _mac(key: bytes, context: Context, payload: bytes) -> bytes:
+    digest = hashlib.blake2b(context.encode(), digest_size=MAC_BYTES, key=key)
+    digest.update(payload)
+    return digest.digest()
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -11,13 +11,17 @@
 from hypothesis import strategies
 from returns.result import Failure, Success
 
-from cardamomtiller import peer
 from cardamomtiller.counter import Counters
 from cardamomtiller.document import LARGEST_DOCUMENT_BYTES, PLANS, Document
+from cardamomtiller.exchangeparts import ControlParts, ExchangePart
+from cardamomtiller.exchanger import Exchanger
+from cardamomtiller.fetching import unpack_documents
+from cardamomtiller.gate import EXCHANGES_PER_S, SenderHistory
 from cardamomtiller.identity import Version
-from cardamomtiller.membership import make_incarnation
 from cardamomtiller.peer_pb2 import FetchedDocuments, PublishedDocument, Sealed
 from cardamomtiller.reader import Intake, Reader, ReaderOptions, Role, choose_role
+from cardamomtiller.rumor import make_incarnation
+from cardamomtiller.sealing import Context, MessageKind, Sealer
 from cardamomtiller.snapshot import Offer, SnapshotStore
 from cardamomtiller.source import HttpSource
 from tools.membership_model import KEY, Model, make_rows
@@ -352,17 +356,17 @@
     for text in bad:
         row = PublishedDocument(name=PLANS, version=9, compressed_text=text)
         payload = FetchedDocuments(documents=[row]).SerializeToString()
-        intake.offer(peer.unpack_documents(payload, counters), 0)
+        intake.offer(unpack_documents(payload, counters), 0)
         assert not store.versions(), text[:20]
-    intake.offer(peer.unpack_documents(b'\x07noise', counters), 0)
+    intake.offer(unpack_documents(b'\x07noise', counters), 0)
     row = PublishedDocument(name=PLANS, version=9, compressed_text=whole)
     payload = FetchedDocuments(documents=[row]).SerializeToString()
-    intake.offer(peer.unpack_documents(payload, counters), 0)
+    intake.offer(unpack_documents(payload, counters), 0)
     assert store.versions() == {PLANS: 9}
     assert counters.count(f'configuration.{Offer.TAKEN.value}') == 1
 
 
-class Recorder(peer.ExchangePart):
+class Recorder(ExchangePart):
     """Adds a load to each message and counts those that arrive."""
 
     def __init__(self):
@@ -379,10 +383,8 @@
     """Return an exchanger of a node with a part that records loads."""
     node = model.nodes[name]
     node.recorder = Recorder()
-    parts = peer.ControlParts(
-        node.membership, node.intake.store.digest, (node.recorder,)
-    )
-    return peer.Exchanger(keys, node.membership, parts, node.intake, node.counters)
+    parts = ControlParts(node.membership, node.intake.store.digest, (node.recorder,))
+    return Exchanger(keys, node.membership, parts, node.intake, node.counters)
 
 
 @given('two instances that exchange')
@@ -482,8 +484,8 @@
     request = context.first.compose(NAMES[2], context.now_ms)
     request.exchange.schema_version = 0
     incarnation = context.model.nodes[NAMES[2]].membership.incarnation
-    bound = peer.Context(peer.MessageKind.EXCHANGE, NAMES[2], incarnation)
-    sealed = peer.Sealer((KEY,)).seal(request.exchange, bound)
+    bound = Context(MessageKind.EXCHANGE, NAMES[2], incarnation)
+    sealed = Sealer((KEY,)).seal(request.exchange, bound)
     refused = context.third.answer(sealed, context.now_ms)
     assert 'schema version 0 is not supported' in refused.failure()
 
@@ -497,7 +499,7 @@
         )
         for _ in range(60)
     ]
-    assert sum(isinstance(row, Success) for row in outcomes) == peer.EXCHANGES_PER_S
+    assert sum(isinstance(row, Success) for row in outcomes) == EXCHANGES_PER_S
     assert outcomes[-1] == Failure('too_many')
     later = context.first.compose(NAMES[2], context.now_ms + 1000).sealed
     assert isinstance(context.third.answer(later, context.now_ms + 1000), Success)
@@ -509,12 +511,12 @@
     request = context.first.compose(NAMES[2], now_ms).sealed
     assert isinstance(context.third.answer(request, now_ms), Success)
     assert context.third.answer(request, now_ms) == Failure('replayed')
-    original = peer._Received.is_new
-    peer._Received.is_new = lambda self, incarnation, nonce: True
+    original = SenderHistory.is_new
+    SenderHistory.is_new = lambda self, incarnation, nonce: True
     try:
         assert isinstance(context.third.answer(request, now_ms), Success)
     finally:
-        peer._Received.is_new = original
+        SenderHistory.is_new = original
 
 
 @then('an instance with the next key and the previous key exchanges with both')
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -13,9 +13,9 @@
 from hypothesis import given as hypothesis_given
 from hypothesis import settings as hypothesis_settings
 
-from cardamomtiller import membership as membership_module
 from cardamomtiller.assignment import LOAD_FACTOR, OwnerTable, owners
 from cardamomtiller.document import UpstreamRow
+from cardamomtiller.gossip import RUMORS_PER_MESSAGE
 from cardamomtiller.identity import (
     DomainName,
     Endpoint,
@@ -25,8 +25,9 @@
     ServiceName,
     UpstreamId,
 )
-from cardamomtiller.membership import InstanceState, Membership, View
+from cardamomtiller.membership import Membership
 from cardamomtiller.peer_pb2 import MemberRumor, MembershipDelta
+from cardamomtiller.view import InstanceState, View
 from tools.membership_model import DEFAULTS, Model, find_moved, make_rows
 
 NAMES = [row.name for row in make_rows(9, 4)]
@@ -440,7 +441,7 @@
     def run(delta, sender):
         node.merge(sender, delta, model.now_ms)
         answer = node.digest(NAMES[1], model.now_ms)
-        assert len(answer.rumors) <= membership_module.RUMORS_PER_MESSAGE
+        assert len(answer.rumors) <= RUMORS_PER_MESSAGE
         assert set(node.view(model.now_ms).members) == set(NAMES[:4])
 
     run()
--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -9,8 +9,8 @@
 from grpclib.exceptions import GRPCError
 
 from cardamomtiller.document import PLANS
-from cardamomtiller.peer import LARGEST_EXCHANGE_BYTES
 from cardamomtiller.peer_grpc import PeerStub
+from cardamomtiller.peertransport import LARGEST_EXCHANGE_BYTES
 from tools.live_fleet import PLAN, LiveFleet
 
 
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -48,10 +48,10 @@
 )
 from cardamomtiller.invariant import Invariants
 from cardamomtiller.link import LinkListener, UpstreamLink
-from cardamomtiller.membership import InstanceState, Member, View
 from cardamomtiller.record import DuplicateRecord
 from cardamomtiller.routing import RoutingView
 from cardamomtiller.settings import parse_settings
+from cardamomtiller.view import InstanceState, Member, View
 from cardamomtiller.wire_pb2 import UpstreamFrame
 from tools.standins import upstream as upstream_module
 from tools.standins.upstream import Behaviour, Link, Upstream
--- a/tools/bench_membership.py
+++ b/tools/bench_membership.py
@@ -36,8 +36,10 @@
     UpstreamId,
     Version,
 )
-from cardamomtiller.membership import Membership, MembershipOptions, View
+from cardamomtiller.membership import Membership
+from cardamomtiller.membershipoptions import MembershipOptions
 from cardamomtiller.rendezvous import assign_bounded
+from cardamomtiller.view import View
 from tools.live_fleet import PLAN, LiveFleet
 from tools.membership_model import DEFAULTS, Model, find_moved, make_rows
 
--- a/tools/live_fleet.py
+++ b/tools/live_fleet.py
@@ -10,10 +10,13 @@
 
 from cardamomtiller.counter import Counters
 from cardamomtiller.document import PLANS, InstanceRow
+from cardamomtiller.exchangeparts import ControlParts
 from cardamomtiller.identity import Endpoint, InstanceId
-from cardamomtiller.membership import Membership, MembershipOptions, make_incarnation
-from cardamomtiller.peer import ControlParts, Peer, PeerOptions
+from cardamomtiller.membership import Membership
+from cardamomtiller.membershipoptions import MembershipOptions
+from cardamomtiller.peer import Peer, PeerOptions
 from cardamomtiller.reader import Intake, Reader, ReaderOptions, Role, choose_role
+from cardamomtiller.rumor import make_incarnation
 from cardamomtiller.snapshot import SnapshotStore
 from cardamomtiller.source import HttpSource
 from tools.membership_model import DEFAULTS, make_rows
--- a/tools/membership_model.py
+++ b/tools/membership_model.py
@@ -14,6 +14,9 @@
 
 from cardamomtiller.counter import Counters
 from cardamomtiller.document import Document, InstanceRow
+from cardamomtiller.exchangeparts import ControlParts
+from cardamomtiller.exchanger import Exchanger
+from cardamomtiller.fetching import FetchGuard
 from cardamomtiller.identity import (
     DomainName,
     Endpoint,
@@ -22,10 +25,11 @@
     RegionName,
     UpstreamId,
 )
-from cardamomtiller.membership import Membership, MembershipOptions, make_incarnation
-from cardamomtiller.peer import ControlParts, Exchanger, FetchGuard
+from cardamomtiller.membership import Membership
+from cardamomtiller.membershipoptions import MembershipOptions
 from cardamomtiller.peer_pb2 import Sealed
 from cardamomtiller.reader import Intake
+from cardamomtiller.rumor import make_incarnation
 from cardamomtiller.snapshot import SnapshotStore
 
 KEY = b'k' * 32
