--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: all setup test lint format schema binary demo bench bench-policy bench-membership measures fuzz test-mutants clean
+.PHONY: all setup test lint format schema binary demo bench bench-policy bench-membership bench-limits bench-datapath measures fuzz test-mutants clean
 
 all: lint test
 
@@ -42,5 +42,22 @@
 demo: setup
 	$(BIN)/python -m tools.demo
 
+bench: bench-policy bench-membership bench-limits bench-datapath
+
+bench-policy: setup
+	$(BIN)/python -m tools.bench_policy
+
+bench-membership: setup
+	$(BIN)/python -m tools.bench_membership
+
+bench-limits: setup
+	$(BIN)/python -m tools.bench_limits
+
+bench-datapath: setup
+	$(BIN)/python -m tools.bench_datapath
+
+measures: setup
+	$(BIN)/python -m tools.measures
+
 clean:
 	rm -rf build
