--- a/tools/bench_datapath.py
+++ b/tools/bench_datapath.py
@@ -926,6 +926,7 @@
             caller.learn_cookies((answer,))
             direct = await _round_trips(caller_socket, caller, addresses[0])
             over_entry = await _round_trips(caller_socket, caller, addresses[1])
+            check_count(nodes[1], 'packet.forwarded', HOP_SAMPLES)
         for node in nodes:
             node.data.close()
         return {
