--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 MINUTES ?= 5
 STAMP := $(VENV)/.installed
 
-.PHONY: all setup test lint format schema binary demo bench bench-policy bench-membership measures fuzz test-mutants clean
+.PHONY: all setup test lint format schema binary demo bench bench-policy bench-membership bench-limits bench-datapath measures fuzz test-mutants clean
 
 all: lint test
 
@@ -50,5 +50,22 @@
 test-mutants: setup
 	$(BIN)/python -m tools.mutants
 
+bench: bench-policy bench-membership bench-limits bench-datapath
+
+bench-policy: setup
+	$(BIN)/python -m tools.bench_policy
+
+bench-membership: setup
+	$(BIN)/python -m tools.bench_membership
+
+bench-limits: setup
+	$(BIN)/python -m tools.bench_limits
+
+bench-datapath: setup
+	$(BIN)/python -m tools.bench_datapath
+
+measures: setup
+	$(BIN)/python -m tools.measures
+
 clean:
 	rm -rf build
--- a/src/cardamomtiller/dataplane.py
+++ b/src/cardamomtiller/dataplane.py
@@ -513,6 +513,8 @@
                 self._give_up(name, served, now_ms)
         if now_ms >= self._next_report_ms:
             self._next_report_ms = now_ms + LOAD_REPORT_MS
+            if self.parts:
+                self.parts.record.expire(now_ms)
             for row, load in self.loads():
                 self.report_load(row.service, row.name, load)
 
--- a/src/cardamomtiller/instance.py
+++ b/src/cardamomtiller/instance.py
@@ -21,7 +21,7 @@
 from cardamomtiller.cookie import CookieSealer
 from cardamomtiller.counter import Counters, StatsdSender
 from cardamomtiller.dataplane import DataPlane
-from cardamomtiller.document import InstanceRow
+from cardamomtiller.document import InstanceRow, UpstreamRow
 from cardamomtiller.exchange import LeasePart, LoadPart
 from cardamomtiller.exchangeparts import ControlParts
 from cardamomtiller.home import HomeIdentity, ServingParts
@@ -109,6 +109,8 @@
         self._intake = Intake(self.store, self.count, self._take_configuration)
         self._sealer = CookieSealer()
         self._owners = OwnerTable()
+        self._listed: Catalog | None = None
+        self._upstreams: tuple[UpstreamRow, ...] = ()
         self._keys = tuple(_cluster_keys(settings))
         self.data = DataPlane(
             self._routing_view(),
@@ -361,7 +363,11 @@
     def _routing_view(self) -> RoutingView:
         view = self.membership.current_view()
         catalog = self.store.catalog
-        owners = self._owners.owners(tuple(catalog.upstreams.values()), view)
+        if catalog is not self._listed:
+            # The table computes again only when it gets another object.
+            self._listed = catalog
+            self._upstreams = tuple(catalog.upstreams.values())
+        owners = self._owners.owners(self._upstreams, view)
         return RoutingView(
             own=self.row.name,
             incarnation=self._identity.incarnation,
--- a/src/cardamomtiller/record.py
+++ b/src/cardamomtiller/record.py
@@ -39,7 +39,7 @@
 
     def __init__(self, retention_ms: float) -> None:
         """Start empty."""
-        self._retention_ms = retention_ms
+        self.retention_ms = retention_ms
         self._entries: OrderedDict[RequestKey, _Entry] = OrderedDict()
         self._by_flow: dict[FlowId, set[RequestKey]] = {}
         self._watermarks: OrderedDict[FlowId, tuple[RequestId, float]] = OrderedDict()
@@ -48,6 +48,10 @@
         """Return how many requests are remembered."""
         return len(self._entries)
 
+    def watermark_count(self) -> int:
+        """Return for how many flows a watermark is remembered."""
+        return len(self._watermarks)
+
     def look_up(self, request: RequestKey, generation: int) -> Verdict:
         """Return what is known of a request without changing anything."""
         watermark = self._watermarks.get(request.flow)
@@ -126,7 +130,7 @@
 
     def expire(self, now_ms: float) -> int:
         """Drop what has outlived the retention; return how many requests."""
-        limit_ms = now_ms - self._retention_ms
+        limit_ms = now_ms - self.retention_ms
         expired = tuple(self._older_than(limit_ms))
         for request in expired:
             self._drop(request)
