Split the scheduler into modules with one job

Cause: scheduler.py had 809 lines: estimates, fair queueing, slots and decisions. Change: work, entry_heap, class_share, fair_queue, run_times, slot_limit, waiting and running are modules of their own; scheduler keeps the decisions.

--- /dev/null
+++ b/src/cardamomtiller/class_share.py
@@ -0,0 +1,45 @@
+"""Guaranteed share of slot time of one service class."""
+
+import math
+
+# Time constant of the measured load of each class.
+LOAD_AVERAGE_MS = 2000
+# Credit that a class saves while it is kept from its guaranteed share.
+LARGEST_CREDIT_MS = 1000
+
+
+class ClassState:
+    """Guaranteed share and measured load of one class."""
+
+    def __init__(self, share: float, *, is_refilled_idle: bool) -> None:
+        """Start idle, without credit."""
+        self.share = share
+        # Bulk work is refused while its credit is spent, so the credit must
+        # also return while none is queued.
+        self._is_refilled_idle = is_refilled_idle
+        self.queued = 0
+        self.running = 0
+        self.backlog_ms: float = 0
+        self.load: float = 0
+        self.credit_ms: float = 0
+
+    def advance(self, passed_ms: float, slots: int) -> None:
+        """Average the load and earn credit over the passed time."""
+        kept = math.exp(-passed_ms / LOAD_AVERAGE_MS)
+        self.load = self.running + (self.load - self.running) * kept
+        if self.queued:
+            earned_ms = passed_ms * slots * self.share
+            self.credit_ms = min(self.credit_ms + earned_ms, LARGEST_CREDIT_MS)
+        elif self._is_refilled_idle and self.credit_ms < 0:
+            earned_ms = passed_ms * slots * self.share
+            self.credit_ms = min(self.credit_ms + earned_ms, 0)
+
+    def is_owed(self) -> bool:
+        """Return whether other classes kept this one from its share."""
+        return self.credit_ms > 0
+
+    def charge(self, cost_ms: float) -> None:
+        """Pay for work that starts."""
+        # Service from spare capacity costs at most itself, so that a class that
+        # used idle slots is not shut out afterwards.
+        self.credit_ms = max(self.credit_ms - cost_ms, min(-cost_ms, self.credit_ms))
--- a/src/cardamomtiller/request.py
+++ b/src/cardamomtiller/request.py
@@ -7,7 +7,6 @@
 from cardamomtiller.admission import Permit
 from cardamomtiller.codec import ChunkSender, Reassembly
 from cardamomtiller.identity import CustomerId, RequestKey, ServiceClass
-from cardamomtiller.scheduler import Work
 from cardamomtiller.wire_pb2 import (
     Answer,
     AnswerStatus,
@@ -15,6 +14,7 @@
     Request,
     RunAnswer,
 )
+from cardamomtiller.work import Work
 
 LARGEST_ANSWER_CHUNKS = 4096
 
--- a/src/cardamomtiller/requestserving.py
+++ b/src/cardamomtiller/requestserving.py
@@ -18,8 +18,7 @@
     ServedRequest,
 )
 from cardamomtiller.retry import RetryBudget, backoff_ms
-from cardamomtiller.scheduler import Options as QueueOptions
-from cardamomtiller.scheduler import Scheduler, Work
+from cardamomtiller.scheduler import Scheduler
 from cardamomtiller.settings_pb2 import Settings
 from cardamomtiller.wire_pb2 import (
     Answer,
@@ -37,6 +36,8 @@
     RunShed,
     UpstreamFrame,
 )
+from cardamomtiller.work import Options as QueueOptions
+from cardamomtiller.work import Work
 
 ANSWER_WINDOW_CHUNKS = 32
 ANSWER_RETENTION_MS = 10_000
--- a/tools/policy_simulation.py
+++ b/tools/policy_simulation.py
@@ -14,7 +14,7 @@
 
 from returns.result import Result, Success
 
-from cardamomtiller import scheduler, selection
+from cardamomtiller import selection
 from cardamomtiller.document import UpstreamRow
 from cardamomtiller.identity import (
     CustomerId,
@@ -30,10 +30,12 @@
     ServiceName,
     UpstreamId,
 )
-from cardamomtiller.scheduler import Refusal, Scheduler, Work
+from cardamomtiller.scheduler import Scheduler
 from cardamomtiller.selection import Load, Selection
+from cardamomtiller.work import Options as QueueOptions
+from cardamomtiller.work import Refusal, Work
 
-QUEUE_OPTIONS = scheduler.Options(
+QUEUE_OPTIONS = QueueOptions(
     long_run_ms=500,
     long_bytes=65536,
     longest_wait_ms=10_000,
