--- a/src/cardamomtiller/client.py
+++ b/src/cardamomtiller/client.py
@@ -13,8 +13,7 @@
 import random
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass, field, replace
-from enum import Enum
+from dataclasses import dataclass, replace
 from types import TracebackType
 from typing import Self
 
@@ -29,10 +28,16 @@
     FlowId,
     ServiceClass,
 )
-from cardamomtiller.wire_pb2 import Answer as AnswerMessage
+from cardamomtiller.outgoing import (
+    FIRST_RESEND_MS,
+    LONGEST_RESEND_MS,
+    Answer,
+    Outgoing,
+    Status,
+    as_answer,
+)
 from cardamomtiller.wire_pb2 import (
     AnswerAck,
-    AnswerStatus,
     Cancel,
     Close,
     Keepalive,
@@ -45,8 +50,6 @@
 )
 
 WINDOW_CHUNKS = 32
-FIRST_RESEND_MS = 100
-LONGEST_RESEND_MS = 1000
 # The home answers at the deadline; its answer needs time to arrive.
 DEADLINE_GRACE_MS = 300
 SHORTEST_WAIT_MS = 1
@@ -55,14 +58,6 @@
 PUSHES_HELD = 1000
 
 
-class Status(Enum):
-    """How a request ended."""
-
-    DONE = 'done'
-    NOT_RUN = 'not run'
-    UNKNOWN = 'outcome unknown'
-
-
 class OpenError(Exception):
     """The flow was not opened; ``reason`` and ``retry_after_ms`` say why."""
 
@@ -73,20 +68,6 @@
         self.retry_after_ms = retry_after_ms
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """
-    Ending of a request.
-
-    ``retry_after_ms`` is 0 unless the request was refused with a hint.
-    """
-
-    status: Status
-    payload: bytes = b''
-    reason: str = ''
-    retry_after_ms: float = 0
-
-
 @dataclass(frozen=True, slots=True)
 class ClientOptions:
     """Times of a flow in milliseconds."""
@@ -109,42 +90,6 @@
     dropped: int = 0
 
 
-@dataclass(slots=True)
-class _Outstanding:
-    request_id: int
-    service_class: ServiceClass
-    is_idempotent: bool
-    deadline_ms: float
-    total_bytes: int
-    sender: ChunkSender
-    wake: asyncio.Event
-    done: asyncio.Future[Answer]
-    generation: int = 0
-    cookie: bytes = b''
-    # The request may only be sent under a generation of at least this.
-    least_generation: int = 1
-    is_sent: bool = False
-    is_home_lost: bool = False
-    sent_ms: dict[int, float] = field(default_factory=dict)
-    resend_ms: float = FIRST_RESEND_MS
-    answer: Reassembly | None = None
-
-    def finish(self, answer: Answer) -> None:
-        if not self.done.done():
-            self.done.set_result(answer)
-        self.wake.set()
-
-    def rebind(self, least_generation: int) -> None:
-        """Let the request be sent again under another generation."""
-        self.generation = 0
-        self.cookie = b''
-        self.least_generation = least_generation
-        self.sender = ChunkSender(self.sender.chunks)
-        self.sent_ms.clear()
-        self.answer = None
-        self.wake.set()
-
-
 class _Protocol(asyncio.DatagramProtocol):
     def __init__(self, receive: Callable[[bytes], None]) -> None:
         self._receive = receive
@@ -192,7 +137,7 @@
         self._options = options or ClientOptions()
         self._transport: asyncio.DatagramTransport | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._outstanding: dict[int, _Outstanding] = {}
+        self._outgoing: dict[int, Outgoing] = {}
         self._next_request_id = 1
         self._pushes: asyncio.Queue[bytes] = asyncio.Queue()
         self._keepalive_ms: float = MS_PER_S
@@ -257,7 +202,7 @@
         Answer
             How the request ended; a deadline is not an exception.
         """
-        outstanding = _Outstanding(
+        outgoing = Outgoing(
             request_id=self._next_request_id,
             service_class=service_class,
             is_idempotent=is_idempotent,
@@ -268,15 +213,15 @@
             done=asyncio.get_running_loop().create_future(),
         )
         self._next_request_id += 1
-        self._outstanding[outstanding.request_id] = outstanding
+        self._outgoing[outgoing.request_id] = outgoing
         try:
-            await self._drive(outstanding)
+            await self._drive(outgoing)
         except asyncio.CancelledError:
-            self._cancel(outstanding)
+            self._cancel(outgoing)
             raise
         finally:
-            self._outstanding.pop(outstanding.request_id, None)
-        return outstanding.done.result()
+            self._outgoing.pop(outgoing.request_id, None)
+        return outgoing.done.result()
 
     async def pushes(self) -> AsyncIterator[bytes]:
         """Iterate over the upstream's pushes, in order."""
@@ -284,12 +229,12 @@
             yield await self._pushes.get()
 
     async def close(self) -> None:
-        """Close the flow; outstanding requests end."""
+        """Close the flow; outgoing requests end."""
         if self._is_closed:
             return
         self._is_closed = True
-        for outstanding in tuple(self._outstanding.values()):
-            self._lose(outstanding, 'closed')
+        for outgoing in tuple(self._outgoing.values()):
+            self._lose(outgoing, 'closed')
         if self._cookie:
             self._send(Packet(close=Close()), self._cookie)
         for task in tuple(self._tasks):
@@ -388,17 +333,17 @@
                 await asyncio.sleep(error.retry_after_ms / MS_PER_S)
             else:
                 break
-        for outstanding in self._outstanding.values():
-            outstanding.rebind(1)
+        for outgoing in self._outgoing.values():
+            outgoing.rebind(1)
 
     def _break_flow(self, reason: str) -> None:
         self.counts.broken += 1
         self._cookie = b''
-        for outstanding in tuple(self._outstanding.values()):
-            if outstanding.is_sent and outstanding.is_idempotent:
-                outstanding.rebind(1)
-            elif outstanding.is_sent:
-                self._lose(outstanding, reason)
+        for outgoing in tuple(self._outgoing.values()):
+            if outgoing.is_sent and outgoing.is_idempotent:
+                outgoing.rebind(1)
+            elif outgoing.is_sent:
+                self._lose(outgoing, reason)
 
     async def _keep_alive(self) -> None:
         while not self._is_closed:
@@ -413,84 +358,84 @@
 
     # Requests
 
-    async def _drive(self, outstanding: _Outstanding) -> None:
+    async def _drive(self, outgoing: Outgoing) -> None:
         """Send a request until it has ended."""
-        while not outstanding.done.done():
+        while not outgoing.done.done():
             now_ms = _now_ms()
-            if now_ms > outstanding.deadline_ms + DEADLINE_GRACE_MS:
-                self._cancel(outstanding)
-                self._lose(outstanding, 'deadline exceeded')
+            if now_ms > outgoing.deadline_ms + DEADLINE_GRACE_MS:
+                self._cancel(outgoing)
+                self._lose(outgoing, 'deadline exceeded')
                 return
-            if now_ms < outstanding.deadline_ms:
-                self._send_chunks(outstanding, now_ms)
-            outstanding.wake.clear()
-            rest_ms = outstanding.deadline_ms + DEADLINE_GRACE_MS - now_ms
-            wait_ms = min(outstanding.resend_ms, max(rest_ms, SHORTEST_WAIT_MS))
-            await _wait_event(outstanding.wake, wait_ms)
-
-    def _send_chunks(self, outstanding: _Outstanding, now_ms: float) -> None:
-        if not outstanding.cookie and not self._bind(outstanding):
+            if now_ms < outgoing.deadline_ms:
+                self._send_chunks(outgoing, now_ms)
+            outgoing.wake.clear()
+            rest_ms = outgoing.deadline_ms + DEADLINE_GRACE_MS - now_ms
+            wait_ms = min(outgoing.resend_ms, max(rest_ms, SHORTEST_WAIT_MS))
+            await _wait_event(outgoing.wake, wait_ms)
+
+    def _send_chunks(self, outgoing: Outgoing, now_ms: float) -> None:
+        if not outgoing.cookie and not self._bind(outgoing):
             return
         window = max(1, WINDOW_CHUNKS)
         is_resend = False
-        indexes = tuple(outstanding.sender.missing(window))
-        if outstanding.sender.is_complete:
+        indexes = tuple(outgoing.sender.missing(window))
+        if outgoing.sender.is_complete:
             # Everything has arrived; one chunk asks for the answer again.
             indexes = (0,)
         for index in indexes:
-            sent_ms = outstanding.sent_ms.get(index)
-            if sent_ms is not None and now_ms - sent_ms < outstanding.resend_ms:
+            sent_ms = outgoing.sent_ms.get(index)
+            if sent_ms is not None and now_ms - sent_ms < outgoing.resend_ms:
                 continue
             is_resend = is_resend or sent_ms is not None
-            outstanding.sent_ms[index] = now_ms
-            self._send_chunk(outstanding, index, now_ms)
+            outgoing.sent_ms[index] = now_ms
+            self._send_chunk(outgoing, index, now_ms)
         if is_resend:
             self.counts.resent += 1
-            longer_ms = outstanding.resend_ms * 2
-            outstanding.resend_ms = min(longer_ms, LONGEST_RESEND_MS)
+            longer_ms = outgoing.resend_ms * 2
+            outgoing.resend_ms = min(longer_ms, LONGEST_RESEND_MS)
 
-    def _bind(self, outstanding: _Outstanding) -> bool:
+    def _bind(self, outgoing: Outgoing) -> bool:
         """Tie the request to the current cookie, if it may be sent under it."""
         if self._resume_wanted.is_set() or not self._cookie:
             return False
-        if self._generation < outstanding.least_generation:
+        if self._generation < outgoing.least_generation:
             return False
-        outstanding.cookie = self._cookie
-        outstanding.generation = self._generation
-        outstanding.resend_ms = FIRST_RESEND_MS
+        outgoing.cookie = self._cookie
+        outgoing.generation = self._generation
+        outgoing.resend_ms = FIRST_RESEND_MS
         return True
 
     def _send_chunk(
         self,
-        outstanding: _Outstanding,
+        outgoing: Outgoing,
         index: int,
         now_ms: float,
     ) -> None:
         message = Request(
-            request_id=outstanding.request_id,
-            service_class=codec.wire_class(outstanding.service_class),
-            is_idempotent=outstanding.is_idempotent,
-            timeout_ms=max(1, int(outstanding.deadline_ms - now_ms)),
+            request_id=outgoing.request_id,
+            service_class=codec.wire_class(outgoing.service_class),
+            is_idempotent=outgoing.is_idempotent,
+            timeout_ms=max(1, int(outgoing.deadline_ms - now_ms)),
             chunk_index=index,
-            chunk_count=len(outstanding.sender.chunks),
-            total_bytes=outstanding.total_bytes,
+            chunk_count=len(outgoing.sender.chunks),
+            total_bytes=outgoing.total_bytes,
             first_open_request_id=self._first_open(),
-            payload=outstanding.sender.chunks[index],
+            payload=outgoing.sender.chunks[index],
         )
-        outstanding.is_sent = True
-        self._send(Packet(request=message), outstanding.cookie)
+        outgoing.is_sent = True
+        self._send(Packet(request=message), outgoing.cookie)
 
-    def _cancel(self, outstanding: _Outstanding) -> None:
-        if outstanding.cookie:
-            cancel = Cancel(request_id=outstanding.request_id)
-            self._send(Packet(cancel=cancel), outstanding.cookie)
+    def _cancel(self, outgoing: Outgoing) -> None:
+        if outgoing.cookie:
+            cancel = Cancel(request_id=outgoing.request_id)
+            self._send(Packet(cancel=cancel), outgoing.cookie)
 
-    def _lose(self, outstanding: _Outstanding, reason: str) -> None:
-        status = Status.UNKNOWN if outstanding.is_sent else Status.NOT_RUN
-        outstanding.finish(Answer(status, reason=reason))
+    def _lose(self, outgoing: Outgoing, reason: str) -> None:
+        status = Status.UNKNOWN if outgoing.is_sent else Status.NOT_RUN
+        outgoing.finish(Answer(status, reason=reason))
 
     def _first_open(self) -> int:
-        return min(self._outstanding, default=self._next_request_id)
+        return min(self._outgoing, default=self._next_request_id)
 
     # Packets from the home
 
@@ -557,8 +502,8 @@
         self._refusal = None
         self._opened.set()
         self._resume_wanted.clear()
-        for outstanding in self._outstanding.values():
-            outstanding.wake.set()
+        for outgoing in self._outgoing.values():
+            outgoing.wake.set()
 
     def _adopt(self, packet: Packet) -> None:
         self._generation = packet.generation
@@ -575,54 +520,54 @@
     def _handle_refresh(self, packet: Packet) -> None:
         if packet.generation == self._generation:
             self._adopt(packet)
-        outstanding = self._outstanding.get(packet.refresh.request_id)
-        if outstanding and outstanding.generation == packet.generation:
-            outstanding.cookie = packet.cookie
-            outstanding.sent_ms.clear()
-            outstanding.wake.set()
+        outgoing = self._outgoing.get(packet.refresh.request_id)
+        if outgoing and outgoing.generation == packet.generation:
+            outgoing.cookie = packet.cookie
+            outgoing.sent_ms.clear()
+            outgoing.wake.set()
 
     def _handle_keepalive_answer(self, _packet: Packet) -> None:
         self._link_lost_ms = 0
 
     def _handle_request_ack(self, packet: Packet) -> None:
         ack: RequestAck = packet.request_ack
-        outstanding = self._outstanding.get(ack.request_id)
-        if outstanding and outstanding.generation == packet.generation:
-            before = outstanding.sender.next_index
-            outstanding.sender.acknowledge(ack.next_chunk_index, ack.received_bitmap)
-            if outstanding.sender.next_index > before:
-                outstanding.resend_ms = FIRST_RESEND_MS
-                outstanding.wake.set()
+        outgoing = self._outgoing.get(ack.request_id)
+        if outgoing and outgoing.generation == packet.generation:
+            before = outgoing.sender.next_index
+            outgoing.sender.acknowledge(ack.next_chunk_index, ack.received_bitmap)
+            if outgoing.sender.next_index > before:
+                outgoing.resend_ms = FIRST_RESEND_MS
+                outgoing.wake.set()
 
     def _handle_answer(self, packet: Packet) -> None:
         message = packet.answer
-        outstanding = self._outstanding.get(message.request_id)
-        if outstanding is None:
+        outgoing = self._outgoing.get(message.request_id)
+        if outgoing is None:
             self._acknowledge_finished(packet)
             return
         # An answer of another generation belongs to a copy that was fenced.
-        if outstanding.generation != packet.generation:
+        if outgoing.generation != packet.generation:
             return
         if not 0 < message.chunk_count <= LARGEST_ANSWER_CHUNKS:
             return
-        if outstanding.answer is None:
-            outstanding.answer = Reassembly(message.chunk_count)
-        outstanding.answer.add(message.chunk_index, message.payload)
-        self._acknowledge(outstanding, outstanding.answer)
-        if outstanding.answer.is_complete:
-            answer = _as_answer(message, outstanding.answer.body())
-            if answer.status is Status.NOT_RUN and outstanding.is_home_lost:
+        if outgoing.answer is None:
+            outgoing.answer = Reassembly(message.chunk_count)
+        outgoing.answer.add(message.chunk_index, message.payload)
+        self._acknowledge(outgoing, outgoing.answer)
+        if outgoing.answer.is_complete:
+            answer = as_answer(message, outgoing.answer.body())
+            if answer.status is Status.NOT_RUN and outgoing.is_home_lost:
                 # An earlier copy may have run at the home that was lost.
                 answer = replace(answer, status=Status.UNKNOWN)
-            outstanding.finish(answer)
+            outgoing.finish(answer)
 
-    def _acknowledge(self, outstanding: _Outstanding, answer: Reassembly) -> None:
+    def _acknowledge(self, outgoing: Outgoing, answer: Reassembly) -> None:
         ack = AnswerAck(
-            request_id=outstanding.request_id,
+            request_id=outgoing.request_id,
             next_chunk_index=answer.next_index,
             received_bitmap=answer.bitmap(),
         )
-        self._send(Packet(answer_ack=ack), outstanding.cookie)
+        self._send(Packet(answer_ack=ack), outgoing.cookie)
 
     def _acknowledge_finished(self, packet: Packet) -> None:
         cookie = self._cookies.get(packet.generation)
@@ -647,11 +592,11 @@
             self._pushes.put_nowait(payload)
 
     def _handle_moved(self, packet: Packet) -> None:
-        outstanding = self._outstanding.get(packet.moved.request_id)
-        if outstanding and outstanding.generation == packet.generation:
+        outgoing = self._outgoing.get(packet.moved.request_id)
+        if outgoing and outgoing.generation == packet.generation:
             # The home has fenced the request: no copy of it has run there.
-            outstanding.is_sent = outstanding.is_home_lost
-            outstanding.rebind(packet.generation + 1)
+            outgoing.is_sent = outgoing.is_home_lost
+            outgoing.rebind(packet.generation + 1)
         if packet.generation >= self._generation:
             self._resume_wanted.set()
 
@@ -676,14 +621,14 @@
         self._resume_wanted.set()
 
     def _lose_home(self, generation: int, reason: str) -> None:
-        for outstanding in tuple(self._outstanding.values()):
-            if outstanding.generation != generation:
+        for outgoing in tuple(self._outgoing.values()):
+            if outgoing.generation != generation:
                 continue
-            if outstanding.is_idempotent:
-                outstanding.is_home_lost = outstanding.is_sent
-                outstanding.rebind(generation)
+            if outgoing.is_idempotent:
+                outgoing.is_home_lost = outgoing.is_sent
+                outgoing.rebind(generation)
             else:
-                self._lose(outstanding, reason)
+                self._lose(outgoing, reason)
         if generation >= self._generation:
             self._resume_wanted.set()
 
@@ -704,22 +649,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _as_answer(message: AnswerMessage, body: bytes) -> Answer:
-    statuses = {
-        AnswerStatus.ANSWER_STATUS_DONE: Status.DONE,
-        AnswerStatus.ANSWER_STATUS_NOT_RUN: Status.NOT_RUN,
-    }
-    reason = ''
-    if message.reason:
-        reason = Reason.Name(message.reason).removeprefix('REASON_')
-    return Answer(
-        status=statuses.get(message.status, Status.UNKNOWN),
-        payload=body,
-        reason=reason.lower().replace('_', ' '),
-        retry_after_ms=message.retry_after_ms,
-    )
-
-
 async def _wait_event(event: asyncio.Event, timeout_ms: float) -> None:
     with contextlib.suppress(TimeoutError):
         await asyncio.wait_for(event.wait(), timeout_ms / MS_PER_S)
--- /dev/null
+++ b/src/cardamomtiller/outgoing.py
@@ -0,0 +1,91 @@
+"""A request of the caller library until it has ended."""
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum
+
+from cardamomtiller.codec import ChunkSender, Reassembly
+from cardamomtiller.identity import ServiceClass
+from cardamomtiller.wire_pb2 import Answer as AnswerMessage
+from cardamomtiller.wire_pb2 import AnswerStatus, Reason
+
+FIRST_RESEND_MS = 100
+LONGEST_RESEND_MS = 1000
+
+
+class Status(Enum):
+    """How a request ended."""
+
+    DONE = 'done'
+    NOT_RUN = 'not run'
+    UNKNOWN = 'outcome unknown'
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """
+    Ending of a request.
+
+    ``retry_after_ms`` is 0 unless the request was refused with a hint.
+    """
+
+    status: Status
+    payload: bytes = b''
+    reason: str = ''
+    retry_after_ms: float = 0
+
+
+@dataclass(slots=True)
+class Outgoing:
+    """State of a request: what was sent, under which cookie, what came back."""
+
+    request_id: int
+    service_class: ServiceClass
+    is_idempotent: bool
+    deadline_ms: float
+    total_bytes: int
+    sender: ChunkSender
+    wake: asyncio.Event
+    done: asyncio.Future[Answer]
+    generation: int = 0
+    cookie: bytes = b''
+    # The request may only be sent under a generation of at least this.
+    least_generation: int = 1
+    is_sent: bool = False
+    is_home_lost: bool = False
+    sent_ms: dict[int, float] = field(default_factory=dict)
+    resend_ms: float = FIRST_RESEND_MS
+    answer: Reassembly | None = None
+
+    def finish(self, answer: Answer) -> None:
+        """End the request; a second ending has no effect."""
+        if not self.done.done():
+            self.done.set_result(answer)
+        self.wake.set()
+
+    def rebind(self, least_generation: int) -> None:
+        """Let the request be sent again under another generation."""
+        self.generation = 0
+        self.cookie = b''
+        self.least_generation = least_generation
+        self.sender = ChunkSender(self.sender.chunks)
+        self.sent_ms.clear()
+        self.answer = None
+        self.wake.set()
+
+
+def as_answer(message: AnswerMessage, body: bytes) -> Answer:
+    """Return the ending that an answer message carries."""
+    statuses = {
+        AnswerStatus.ANSWER_STATUS_DONE: Status.DONE,
+        AnswerStatus.ANSWER_STATUS_NOT_RUN: Status.NOT_RUN,
+    }
+    reason = ''
+    if message.reason:
+        reason = Reason.Name(message.reason).removeprefix('REASON_')
+    return Answer(
+        status=statuses.get(message.status, Status.UNKNOWN),
+        payload=body,
+        reason=reason.lower().replace('_', ' '),
+        retry_after_ms=message.retry_after_ms,
+    )
--- a/tests/mutant_trials.py
+++ b/tests/mutant_trials.py
@@ -65,7 +65,7 @@
     cookie = rig.grant(1)
     rig.home.retire(rig.now_ms)
     rig.request(cookie)
-    rig.home.resume_ownership()
+    rig.home.resume_ownership(rig.now_ms)
     rig.request(cookie)
     return ('a request ran after Moved',) if rig.told('moved') and rig.runs() else ()
 
@@ -80,7 +80,7 @@
     rig.request(cookie)
     rig.home.retire(rig.now_ms)
     rig.link.is_up = True
-    rig.home.resume_ownership()
+    rig.home.resume_ownership(rig.now_ms)
     rig.request(cookie)
     return ('a request ran after Moved',) if rig.told('moved') and rig.runs() else ()
 
@@ -112,8 +112,8 @@
     rig.connect()
     rig.open()
     old = rig.grant(1)
-    rig.home.flows.retire()
-    rig.home.flows.resume_ownership()
+    rig.home.flows.retire(rig.now_ms)
+    rig.home.flows.resume_ownership(rig.now_ms)
     rig.home.home.rows[FLOW].generation = 2
     rig.request(old)
     return ('a request of generation 1 ran under 2',) if rig.runs() else ()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -127,7 +127,7 @@
 
 def _any_answer(original):
     def handle_answer(self, packet):
-        outstanding = self._outstanding.get(packet.answer.request_id)
+        outstanding = self._outgoing.get(packet.answer.request_id)
         if outstanding:
             packet.generation = outstanding.generation
         original(self, packet)
