Open each copy of an open as a flow of its own

Cause: a resent open may be given another upstream, so one flow was open on two upstreams until the second copy was closed (16 flows at a round trip of 300 ms). Change: each attempt has its own flow id; the first that is opened is kept, late ones are closed.

--- a/src/cardamomtiller/client.py
+++ b/src/cardamomtiller/client.py
@@ -251,8 +251,8 @@
     # Opening and resuming
 
     def _reset_flow(self) -> None:
-        self._flow = FlowId(os.urandom(FLOW_ID_BYTES))
-        self._flow_key = codec.derive_flow_key(self._secret, self._flow)
+        self._attempts: dict[FlowId, bytes] = {}
+        self._take_new_id()
         self._cookie = b''
         self._cookies: dict[int, bytes] = {}
         self._generation = 0
@@ -266,6 +266,13 @@
         self._opened.clear()
         self._resume_wanted.clear()
 
+    def _take_new_id(self) -> None:
+        # Each copy of an open may be given another upstream, so each is a flow
+        # of its own; the first one that is opened is kept.
+        self._flow = FlowId(os.urandom(FLOW_ID_BYTES))
+        self._flow_key = codec.derive_flow_key(self._secret, self._flow)
+        self._attempts[self._flow] = self._flow_key
+
     async def _open_new(self) -> None:
         """Open a new flow over a new socket."""
         if self._transport:
@@ -286,8 +293,11 @@
             self._send_open(is_resume=False)
             await _wait_event(self._opened, resend_ms)
             if self._refusal and not self._opened.is_set():
-                await asyncio.sleep(self._refusal.retry_after_ms / MS_PER_S)
+                wait_ms = self._refusal.retry_after_ms
+                await _wait_event(self._opened, wait_ms)
             resend_ms = min(resend_ms * 2, LONGEST_RESEND_MS)
+            if not self._opened.is_set():
+                self._take_new_id()
         self.counts.opened += 1
 
     def _send_open(self, *, is_resume: bool) -> None:
@@ -445,12 +455,16 @@
             self.counts.dropped += 1
             return
         packet = decoded.unwrap()
-        if packet.flow_id != self._flow:
+        flow = FlowId(packet.flow_id)
+        flow_key = self._attempts.get(flow)
+        if flow_key is None:
             self.counts.dropped += 1
             return
-        if not codec.is_authentic(datagram, (self._flow_key,)):
+        if not codec.is_authentic(datagram, (flow_key,)):
             self._receive_unauthentic(packet, datagram)
             return
+        if flow != self._flow and not self._adopt_attempt(flow, packet):
+            return
         if packet.upstream_tag and not self._is_own_upstream(packet):
             self._receive_foreign(packet)
             return
@@ -461,6 +475,19 @@
         else:
             self.counts.dropped += 1
 
+    def _adopt_attempt(self, flow: FlowId, packet: Packet) -> bool:
+        """Keep the attempt that is opened first; close the others."""
+        body = packet.WhichOneof('body')
+        if self._opened.is_set():
+            self.counts.dropped += 1
+            if body == 'opened':
+                self._send_as(flow, Packet(close=Close()), packet.cookie)
+            return False
+        if body == 'opened':
+            self._flow = flow
+            self._flow_key = self._attempts[flow]
+        return body in {'opened', 'refused'}
+
     def _is_own_upstream(self, packet: Packet) -> bool:
         return not self._upstream_tag or packet.upstream_tag == self._upstream_tag
 
@@ -635,13 +662,17 @@
     # Plumbing
 
     def _send(self, packet: Packet, cookie: bytes) -> None:
+        self._send_as(self._flow, packet, cookie)
+
+    def _send_as(self, flow: FlowId, packet: Packet, cookie: bytes) -> None:
         if self._transport is None or self._transport.is_closing():
             return
         self._sequence += 1
-        packet.flow_id = self._flow
+        packet.flow_id = flow
         packet.cookie = cookie
         packet.sequence = self._sequence
-        self._transport.sendto(codec.encode_packet(packet, self._flow_key))
+        datagram = codec.encode_packet(packet, self._attempts[flow])
+        self._transport.sendto(datagram)
 
     def _spawn(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
--- a/tests/mutant_trials.py
+++ b/tests/mutant_trials.py
@@ -10,6 +10,7 @@
 from cardamomtiller.client import Client, ClientOptions, Status
 from cardamomtiller.cookie import CookieSealer
 from cardamomtiller.document import CustomerRow, Document, KeyRow
+from cardamomtiller.flowserving import FlowServer
 from cardamomtiller.identity import DocumentName, Endpoint, PlanName, Version
 from cardamomtiller.membership import View
 from cardamomtiller.routing import Dropped, FlowKeys, Inbound, Router, RoutingView
@@ -205,3 +206,17 @@
     answer = await asking
     is_taken = answer.status is Status.NOT_RUN
     return ('the late answer of generation 1 was taken',) if is_taken else ()
+
+
+def without_home_guard(trial):
+    """Run a trial while homes open flows at leaving upstreams."""
+
+    def run():
+        guard = FlowServer._is_leaving
+        FlowServer._is_leaving = lambda self: False
+        try:
+            return trial()
+        finally:
+            FlowServer._is_leaving = guard
+
+    return run
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -302,7 +302,9 @@
         Selection,
         '_list_eligible',
         _leaving_chosen,
-        trials.runs('drain_upstream', seconds=12, seeds=trials.FEW_SEEDS),
+        trials.without_home_guard(
+            trials.runs('drain_upstream', seconds=12, seeds=trials.FEW_SEEDS),
+        ),
     ),
     Mutant(
         'only the current sealing key opens cookies',
