Say once what stood twice in the home and the caller library

Cause: a last reading found the move of unstarted requests, the caller's address update and the wording of reasons written two or three times, a flow key beside the table that holds it, and a table of handlers built for every datagram. Conclusion: dropping a flow still scans all requests of its upstream.

--- a/src/cardamomtiller/client.py
+++ b/src/cardamomtiller/client.py
@@ -35,6 +35,7 @@
     Outgoing,
     Status,
     as_answer,
+    reason_text,
 )
 from cardamomtiller.wire_pb2 import (
     AnswerAck,
@@ -144,6 +145,7 @@
         self._is_closed = False
         self._opened = asyncio.Event()
         self._resume_wanted = asyncio.Event()
+        self._handlers = self._make_handlers()
         self._reset_flow()
 
     # Public interface
@@ -270,8 +272,8 @@
         # Each copy of an open may be given another upstream, so each is a flow
         # of its own; the first one that is opened is kept.
         self._flow = FlowId(os.urandom(FLOW_ID_BYTES))
-        self._flow_key = codec.derive_flow_key(self._secret, self._flow)
-        self._attempts[self._flow] = self._flow_key
+        flow_key = codec.derive_flow_key(self._secret, self._flow)
+        self._attempts[self._flow] = flow_key
 
     async def _open_new(self) -> None:
         """Open a new flow over a new socket."""
@@ -386,9 +388,8 @@
     def _send_chunks(self, outgoing: Outgoing, now_ms: float) -> None:
         if not outgoing.cookie and not self._bind(outgoing):
             return
-        window = max(1, WINDOW_CHUNKS)
         is_resend = False
-        indexes = tuple(outgoing.sender.missing(window))
+        indexes = tuple(outgoing.sender.missing(WINDOW_CHUNKS))
         if outgoing.sender.is_complete:
             # Everything has arrived; one chunk asks for the answer again.
             indexes = (0,)
@@ -469,7 +470,7 @@
             self._receive_foreign(packet)
             return
         self._heard_ms = _now_ms()
-        handle = self._handlers().get(packet.WhichOneof('body') or '')
+        handle = self._handlers.get(packet.WhichOneof('body') or '')
         if handle:
             handle(packet)
         else:
@@ -485,7 +486,6 @@
             return False
         if body == 'opened':
             self._flow = flow
-            self._flow_key = self._attempts[flow]
         return body in {'opened', 'refused'}
 
     def _is_own_upstream(self, packet: Packet) -> bool:
@@ -506,7 +506,7 @@
         else:
             self.counts.dropped += 1
 
-    def _handlers(self) -> dict[str, Callable[[Packet], None]]:
+    def _make_handlers(self) -> dict[str, Callable[[Packet], None]]:
         return {
             'opened': self._handle_opened,
             'refused': self._handle_refused,
@@ -540,8 +540,7 @@
             self._cookies.pop(min(self._cookies))
 
     def _handle_refused(self, packet: Packet) -> None:
-        reason = Reason.Name(packet.refused.reason).removeprefix('REASON_')
-        text = reason.lower().replace('_', ' ')
+        text = reason_text(packet.refused.reason)
         self._refusal = OpenError(text, packet.refused.retry_after_ms)
 
     def _handle_refresh(self, packet: Packet) -> None:
@@ -628,8 +627,7 @@
             self._resume_wanted.set()
 
     def _handle_reset(self, packet: Packet) -> None:
-        reason = Reason.Name(packet.reset.reason).removeprefix('REASON_')
-        text = reason.lower().replace('_', ' ')
+        text = reason_text(packet.reset.reason)
         if packet.reset.reason == Reason.REASON_HOME_GONE:
             self._lose_home(packet.generation, text)
         elif packet.reset.reason == Reason.REASON_LINK_LOST:
--- a/src/cardamomtiller/flowserving.py
+++ b/src/cardamomtiller/flowserving.py
@@ -75,10 +75,7 @@
             self._send_flow_open(row, now_ms)
             return
         if row and row.customer == arrival.customer and _is_current(row, arrival):
-            if arrival.packet.sequence > row.sequence:
-                row.sequence = arrival.packet.sequence
-                row.caller = arrival.caller
-                row.seen_ms = now_ms
+            row.take_packet(arrival.packet.sequence, arrival.caller, now_ms)
             self._send_opened(row, now_ms)
             return
         if not self._home.is_up:
--- a/src/cardamomtiller/flowtable.py
+++ b/src/cardamomtiller/flowtable.py
@@ -35,6 +35,13 @@
     # Instance that relays to the caller while the direct path is silent.
     relay: str = ''
 
+    def take_packet(self, sequence: int, caller: Endpoint, now_ms: float) -> None:
+        """Follow the caller's address; an older packet changes nothing."""
+        if sequence > self.sequence:
+            self.sequence = sequence
+            self.caller = caller
+            self.seen_ms = now_ms
+
     def record(self, generation: int) -> FlowRecord:
         """Return the form that the upstream keeps."""
         return FlowRecord(
--- a/src/cardamomtiller/outgoing.py
+++ b/src/cardamomtiller/outgoing.py
@@ -74,18 +74,20 @@
         self.wake.set()
 
 
+def reason_text(reason: 'Reason.ValueType') -> str:
+    """Return a reason in words."""
+    return Reason.Name(reason).removeprefix('REASON_').lower().replace('_', ' ')
+
+
 def as_answer(message: AnswerMessage, body: bytes) -> Answer:
     """Return the ending that an answer message carries."""
     statuses = {
         AnswerStatus.ANSWER_STATUS_DONE: Status.DONE,
         AnswerStatus.ANSWER_STATUS_NOT_RUN: Status.NOT_RUN,
     }
-    reason = ''
-    if message.reason:
-        reason = Reason.Name(message.reason).removeprefix('REASON_')
     return Answer(
         status=statuses.get(message.status, Status.UNKNOWN),
         payload=body,
-        reason=reason.lower().replace('_', ' '),
+        reason=reason_text(message.reason) if message.reason else '',
         retry_after_ms=message.retry_after_ms,
     )
--- a/src/cardamomtiller/requestserving.py
+++ b/src/cardamomtiller/requestserving.py
@@ -78,23 +78,29 @@
 
     def retire(self, now_ms: float) -> None:
         """Fence what has not been started; running work goes on."""
-        for request in tuple(self.requests.values()):
-            if request.state in {RequestState.RECEIVING, RequestState.QUEUED}:
-                self._move_request(request, now_ms)
+        self._move_unstarted(tuple(self.requests.values()), now_ms)
 
     def move_flow(self, flow: FlowId, now_ms: float) -> None:
         """Fence the requests of a flow that have not been started."""
-        for request in tuple(self.requests.values()):
-            if request.key.flow != flow:
-                continue
-            if request.state in {RequestState.RECEIVING, RequestState.QUEUED}:
-                self._move_request(request, now_ms)
+        self._move_unstarted(self._requests_of(flow), now_ms)
 
     def abandon_flow(self, flow: FlowId, now_ms: float) -> None:
         """End every request of a flow that is closed."""
-        for request in tuple(self.requests.values()):
-            if request.key.flow == flow:
-                self._abandon(request, now_ms)
+        for request in self._requests_of(flow):
+            self._abandon(request, now_ms)
+
+    def _requests_of(self, flow: FlowId) -> tuple[ServedRequest, ...]:
+        rows = self.requests.values()
+        return tuple(request for request in rows if request.key.flow == flow)
+
+    def _move_unstarted(
+        self,
+        requests: tuple[ServedRequest, ...],
+        now_ms: float,
+    ) -> None:
+        for request in requests:
+            if request.state in {RequestState.RECEIVING, RequestState.QUEUED}:
+                self._move_request(request, now_ms)
 
     def finish_below(
         self,
--- a/src/cardamomtiller/serving.py
+++ b/src/cardamomtiller/serving.py
@@ -138,10 +138,7 @@
         if cookie.generation != row.generation:
             self.requests.handle_stale(row, arrival, now_ms)
             return None
-        if arrival.packet.sequence > row.sequence:
-            row.sequence = arrival.packet.sequence
-            row.caller = arrival.caller
-            row.seen_ms = now_ms
+        row.take_packet(arrival.packet.sequence, arrival.caller, now_ms)
         return row
 
     # Link events
