Forward packets of the users' platform through a thin whole path

The platform routes packets of flows whose ends are clients and upstreams. The new package forwarding decides (token, placement, configuration, upstreams); platform/ translates the header, the store, the entries and the settings.

--- /dev/null
+++ b/src/cardamomtiller/forwarding/forwarder.py
@@ -0,0 +1,342 @@
+"""Forwarding decisions: what happens to each packet, with no input or output."""
+
+from collections.abc import Iterable, Iterator
+from enum import Enum
+from typing import NamedTuple
+
+from cardamomtiller.forwarding.configuration import (
+    NO_CONFIGURATION,
+    Configuration,
+    Route,
+)
+from cardamomtiller.forwarding.decisionlog import DecisionLog
+from cardamomtiller.forwarding.flows import Flow, FlowTable, Observation
+from cardamomtiller.forwarding.load import LoadBook
+from cardamomtiller.forwarding.meters import Meters
+from cardamomtiller.forwarding.options import ForwardingOptions
+from cardamomtiller.forwarding.packet import (
+    FlowKey,
+    Packet,
+    PacketFormat,
+    address_text,
+    flow_text,
+)
+from cardamomtiller.forwarding.placement import Choice, choose
+from cardamomtiller.forwarding.upstreams import (
+    SocketAddress,
+    Upstream,
+    UpstreamDirectory,
+    UpstreamEntry,
+    UpstreamState,
+)
+from cardamomtiller.ids import DomainName, UpstreamId
+
+CLIENT_MULTIPLIER = 0x85EBCA6B
+HASH_MASK = 0xFFFFFFFF
+HASH_SHIFT = 13
+
+
+class DropReason(Enum):
+    """Why a packet went nowhere."""
+
+    MALFORMED = 'malformed'
+    NOT_CONFIGURED = 'not_configured'
+    NO_ROUTE = 'no_route'
+    NO_UPSTREAM = 'no_upstream'
+    UNKNOWN_TOKEN = 'unknown_token'
+
+
+class Delivery(NamedTuple):
+    """A datagram to send."""
+
+    address: SocketAddress
+    datagram: bytes
+
+
+class Forwarder:
+    """Routes packets by their token, and opening packets by load."""
+
+    def __init__(
+        self,
+        domain: DomainName,
+        packet_format: PacketFormat,
+        client_port: int,
+        options: ForwardingOptions,
+        log: DecisionLog,
+        meters: Meters,
+    ) -> None:
+        """Start with no configuration and no upstreams."""
+        self._domain = domain
+        self._format = packet_format
+        self._client_port = client_port
+        self._options = options
+        self._log = log
+        self._meters = meters
+        self._flows = FlowTable(options.flows)
+        self.configuration: Configuration = NO_CONFIGURATION
+        self.directory = UpstreamDirectory(
+            options.missing_kept_ms,
+            options.departed_kept_ms,
+        )
+        self.loads = LoadBook()
+
+    def take_configuration(self, configuration: Configuration, now_ms: float) -> None:
+        """Put a configuration in force; an older version than before is ignored."""
+        before = self.configuration.version
+        if configuration.version <= before:
+            if configuration.version < before:
+                self._meters.count('configuration_older')
+                self._log.write(
+                    'configuration_ignored',
+                    now_ms,
+                    version=configuration.version,
+                    in_force=before,
+                )
+            return
+        self.configuration = configuration
+        self._log.write(
+            'configuration_in_force',
+            now_ms,
+            version=configuration.version,
+            before=before,
+            routes=len(configuration.routes),
+        )
+
+    def take_entry(self, entry: UpstreamEntry, now_ms: float) -> None:
+        """Take a new or changed upstream."""
+        upstream = self.directory.put(entry, now_ms)
+        self._log_upstream(upstream, now_ms, 'entry')
+
+    def lose_entry(self, upstream_id: UpstreamId, now_ms: float) -> None:
+        """Take note that the entry of an upstream has disappeared."""
+        upstream = self.directory.remove(upstream_id, now_ms)
+        if upstream is not None:
+            self._log_upstream(upstream, now_ms, 'entry_removed')
+
+    def keep_only(self, present: set[UpstreamId], now_ms: float) -> None:
+        """Take note of a complete list of the present entries."""
+        self.directory.keep_only(present, now_ms)
+
+    def handle(self, datagram: bytes, now_ms: float) -> Iterator[Delivery]:
+        """
+        Decide on one datagram of a client.
+
+        Parameters
+        ----------
+        datagram
+            The datagram as it arrived.
+        now_ms
+            Present time.
+
+        Yields
+        ------
+        Delivery
+            Datagrams to send; none if the packet is dropped.
+        """
+        packet = self._format.decode(datagram)
+        if packet is None:
+            self._drop(DropReason.MALFORMED, None, now_ms)
+        elif packet.is_opening:
+            yield from self._open(packet, datagram, now_ms)
+        else:
+            yield from self._continue(packet, datagram, now_ms)
+
+    def sweep(self, now_ms: float) -> None:
+        """Age out flows, requests that got lost, and departed upstreams."""
+        for idle in self._flows.take_idle(now_ms):
+            self.loads.detach(idle)
+        for stalled in tuple(self._flows.stalled(now_ms)):
+            self.loads.finish(stalled)
+        for upstream in self.directory.expire(now_ms):
+            self._log_upstream(upstream, now_ms, 'entry_expired')
+        self.loads.keep_only({one.entry.upstream for one in self.directory})
+        self._meters.gauge('flows', len(self._flows))
+
+    def _open(
+        self,
+        packet: Packet,
+        datagram: bytes,
+        now_ms: float,
+    ) -> Iterator[Delivery]:
+        route = self.configuration.routes.get(packet.flow.route)
+        if route is None:
+            yield from self._refuse_unrouted(packet, now_ms)
+            return
+        choice = self._place(packet, route, now_ms)
+        if choice is None:
+            # The service may have upstreams again before the client's next copy.
+            self._drop(DropReason.NO_UPSTREAM, packet, now_ms)
+            return
+        self._track_opening(packet.flow, choice.upstream, now_ms)
+        self._log_open(packet, route, choice, now_ms)
+        self._meters.count('opens_forwarded')
+        opening = self._format.with_token(datagram, choice.upstream.token)
+        yield _to_upstream(choice.upstream, opening)
+
+    def _place(self, packet: Packet, route: Route, now_ms: float) -> Choice | None:
+        hashed = hash_flow(packet.flow)
+        excluded = self._unanswered_upstream(packet, now_ms)
+        return choose(
+            self.directory.pool(route.service_of(hashed)),
+            self.loads,
+            self._domain,
+            self._options.placement,
+            hashed,
+            now_ms,
+            excluded,
+        )
+
+    def _unanswered_upstream(self, packet: Packet, now_ms: float) -> UpstreamId | None:
+        """Return the upstream that did not answer the copy before this one."""
+        flow = self._flows.find(packet.flow)
+        if flow is None or not packet.copy:
+            return None
+        self.loads.of(flow.upstream).miss_open(now_ms)
+        self._meters.count('opens_repeated')
+        return flow.upstream.entry.upstream
+
+    def _track_opening(self, key: FlowKey, upstream: Upstream, now_ms: float) -> None:
+        before = self._flows.remove(key)
+        if before is not None:
+            self.loads.detach(before)
+        flow = Flow(key, upstream, now_ms)
+        self._add_flow(flow)
+        # The request follows its opening within a round trip.
+        self.loads.start(flow, now_ms)
+
+    def _add_flow(self, flow: Flow) -> None:
+        self.loads.attach(flow)
+        displaced = self._flows.add(flow)
+        if displaced is not None:
+            self.loads.detach(displaced)
+
+    def _refuse_unrouted(self, packet: Packet, now_ms: float) -> Iterator[Delivery]:
+        if self.configuration is NO_CONFIGURATION:
+            self._drop(DropReason.NOT_CONFIGURED, packet, now_ms)
+            return
+        self._drop(DropReason.NO_ROUTE, packet, now_ms)
+        yield self._reset(packet)
+
+    def _reset(self, packet: Packet) -> Delivery:
+        host = address_text(packet.flow.client).partition(':')[0]
+        return Delivery((host, self._client_port), self._format.reset(packet))
+
+    def _continue(
+        self,
+        packet: Packet,
+        datagram: bytes,
+        now_ms: float,
+    ) -> Iterator[Delivery]:
+        upstream = self.directory.by_token(packet.token)
+        if upstream is None:
+            self._drop(DropReason.UNKNOWN_TOKEN, packet, now_ms)
+            return
+        self._observe(packet, upstream, now_ms)
+        self._meters.count('packets_forwarded')
+        yield _to_upstream(upstream, datagram)
+
+    def _observe(self, packet: Packet, upstream: Upstream, now_ms: float) -> None:
+        flow = self._flows.find(packet.flow)
+        if flow is None or flow.upstream is not upstream:
+            if flow is not None:
+                self.loads.detach(flow)
+            if packet.is_closing or packet.is_reset:
+                return
+            flow = Flow(packet.flow, upstream, now_ms)
+            self._add_flow(flow)
+        was_opened = flow.is_opened
+        observation = flow.observe(packet, now_ms)
+        if not was_opened and flow.is_opened:
+            self.loads.of(upstream).hear(now_ms)
+        self._account(flow, observation, now_ms)
+
+    def _account(self, flow: Flow, observation: Observation, now_ms: float) -> None:
+        if observation is Observation.REQUEST:
+            self.loads.answer(flow, now_ms)
+            self.loads.start(flow, now_ms)
+        elif observation is Observation.ANSWER:
+            elapsed_ms = self.loads.answer(flow, now_ms)
+            if elapsed_ms is not None:
+                self._meters.observe('request_ms', elapsed_ms)
+        elif observation is Observation.RETRANSMISSION:
+            self._meters.count('retransmissions')
+            if flow.retransmissions == 1:
+                self.loads.of(flow.upstream).miss_answer(now_ms)
+        elif observation is Observation.END:
+            self._flows.remove(flow.key)
+            self.loads.detach(flow)
+
+    def _drop(self, reason: DropReason, packet: Packet | None, now_ms: float) -> None:
+        self._meters.count(f'dropped_{reason.value}')
+        self._log.write(
+            'packet_refused',
+            now_ms,
+            reason=reason.value,
+            flow=flow_text(packet.flow) if packet else None,
+            is_opening=packet.is_opening if packet else None,
+            token=packet.token if packet else None,
+            configuration=self.configuration.version,
+        )
+
+    def _log_open(
+        self,
+        packet: Packet,
+        route: Route,
+        choice: Choice,
+        now_ms: float,
+    ) -> None:
+        entry = choice.upstream.entry
+        self._log.write(
+            'flow_placed',
+            now_ms,
+            flow=flow_text(packet.flow),
+            copy=packet.copy,
+            route=route.name,
+            service=entry.service,
+            upstream=entry.upstream,
+            domain=entry.domain,
+            cost=round(choice.cost, 3),
+            in_progress=choice.in_progress,
+            open_flows=choice.open_flows,
+            candidates=choice.candidates,
+            entry_age_ms=round(now_ms - choice.upstream.changed_ms),
+            configuration=self.configuration.version,
+        )
+
+    def _log_upstream(self, upstream: Upstream, now_ms: float, event: str) -> None:
+        entry = upstream.entry
+        self._meters.count(f'upstreams_{event}')
+        self._log.write(
+            f'upstream_{event}',
+            now_ms,
+            upstream=entry.upstream,
+            service=entry.service,
+            domain=entry.domain,
+            state=upstream.state.value,
+            slots=entry.slots,
+            warmup_left_ms=entry.warmup_left_ms,
+        )
+
+
+def hash_flow(flow: FlowKey) -> int:
+    """Return a hash of a flow that is the same on every instance."""
+    mixed = (flow.client ^ flow.route * CLIENT_MULTIPLIER) & HASH_MASK
+    mixed = (mixed ^ mixed >> HASH_SHIFT) * CLIENT_MULTIPLIER & HASH_MASK
+    return mixed ^ mixed >> HASH_SHIFT
+
+
+def deliver_all(
+    forwarder: Forwarder,
+    datagrams: Iterable[bytes],
+    now_ms: float,
+) -> Iterator[Delivery]:
+    """Iterate over everything to send for some datagrams, in their order."""
+    for datagram in datagrams:
+        yield from forwarder.handle(datagram, now_ms)
+
+
+def _to_upstream(upstream: Upstream, datagram: bytes) -> Delivery:
+    return Delivery(upstream.entry.address, upstream.entry.frame + datagram)
+
+
+__all__ = ('Delivery', 'DropReason', 'Forwarder', 'UpstreamState', 'deliver_all')
--- /dev/null
+++ b/src/cardamomtiller/forwarding/options.py
@@ -0,0 +1,45 @@
+"""Options of the forwarding path."""
+
+from typing import NamedTuple
+
+from cardamomtiller.forwarding.decisionlog import LogOptions
+from cardamomtiller.forwarding.flows import FlowOptions
+from cardamomtiller.forwarding.load import SilenceOptions
+from cardamomtiller.forwarding.placement import PlacementOptions
+
+
+class ForwardingOptions(NamedTuple):
+    """
+    Options of the decisions on packets.
+
+    Attributes
+    ----------
+    missing_kept_ms
+        How long an upstream stays eligible after its entry has disappeared.
+    departed_kept_ms
+        How long a departed upstream still gets the packets of its flows.
+    """
+
+    placement: PlacementOptions
+    flows: FlowOptions
+    missing_kept_ms: float
+    departed_kept_ms: float
+
+
+DEFAULT_SILENCE = SilenceOptions(opens=2, retransmissions=3, retry_ms=1000)
+DEFAULT_PLACEMENT = PlacementOptions(
+    idle_flow=0.05,
+    remote=0.34,
+    cold=0.7,
+    missing=2.0,
+    silent=8.0,
+    silence=DEFAULT_SILENCE,
+)
+DEFAULT_FLOWS = FlowOptions(capacity=100_000, idle_ms=15_000, request_ms=600)
+DEFAULT_FORWARDING = ForwardingOptions(
+    placement=DEFAULT_PLACEMENT,
+    flows=DEFAULT_FLOWS,
+    missing_kept_ms=2000,
+    departed_kept_ms=60_000,
+)
+DEFAULT_LOG = LogOptions(lines_per_s=500, buffered_lines=4000)
--- /dev/null
+++ b/src/cardamomtiller/forwarding/upstreams.py
@@ -0,0 +1,174 @@
+"""The upstreams that entries name, present and departed, by service and token."""
+
+from collections.abc import Iterator
+from enum import Enum
+from typing import NamedTuple
+from zlib import crc32
+
+from cardamomtiller.forwarding.packet import NO_TOKEN, Token
+from cardamomtiller.ids import DomainName, ServiceName, UpstreamId
+
+SocketAddress = tuple[str, int]
+
+
+class UpstreamState(Enum):
+    """What is known of an upstream."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+    # The entry has disappeared a moment ago; it may be back at once.
+    MISSING = 'missing'
+    GONE = 'gone'
+
+
+class UpstreamEntry(NamedTuple):
+    """
+    What an upstream has published of itself.
+
+    Attributes
+    ----------
+    frame
+        Bytes that precede a packet so that only this upstream takes it.
+    warmup_left_ms
+        How much longer the upstream is slow, from the time of the entry.
+    incarnation
+        Start of the process, which tells a restart under the same id.
+    """
+
+    upstream: UpstreamId
+    service: ServiceName
+    domain: DomainName
+    address: SocketAddress
+    frame: bytes
+    slots: int
+    is_ready: bool
+    warmup_left_ms: float
+    incarnation: int
+
+
+class Upstream:
+    """One upstream with the time-dependent parts of what is known of it."""
+
+    __slots__ = ('changed_ms', 'entry', 'state', 'token', 'warm_ms')
+
+    def __init__(self, entry: UpstreamEntry, token: Token, now_ms: float) -> None:
+        """Start from the first entry."""
+        self.token = token
+        self.take(entry, now_ms)
+
+    def take(self, entry: UpstreamEntry, now_ms: float) -> None:
+        """Replace what is known by a newer entry."""
+        self.entry = entry
+        self.state = UpstreamState.READY if entry.is_ready else UpstreamState.DRAINING
+        self.changed_ms = now_ms
+        self.warm_ms = now_ms + entry.warmup_left_ms
+
+    def lose(self, now_ms: float) -> None:
+        """Record that the entry has disappeared."""
+        if self.state is UpstreamState.READY:
+            self.state = UpstreamState.MISSING
+        elif self.state is UpstreamState.DRAINING:
+            self.state = UpstreamState.GONE
+        self.changed_ms = now_ms
+
+
+class UpstreamDirectory:
+    """
+    Upstreams by token and by service.
+
+    Departed upstreams stay for ``departed_kept_ms``, because they may still serve
+    the flows that they hold.
+    """
+
+    def __init__(self, missing_kept_ms: float, departed_kept_ms: float) -> None:
+        """Start empty."""
+        self._missing_kept_ms = missing_kept_ms
+        self._departed_kept_ms = departed_kept_ms
+        self._by_id: dict[UpstreamId, Upstream] = {}
+        self._by_token: dict[Token, Upstream] = {}
+        self._pools: dict[ServiceName, tuple[Upstream, ...]] = {}
+
+    def __iter__(self) -> Iterator[Upstream]:
+        """Iterate over all upstreams that are known, departed ones too."""
+        return iter(tuple(self._by_id.values()))
+
+    def by_token(self, token: Token) -> Upstream | None:
+        """Return the upstream that a token names."""
+        return self._by_token.get(token)
+
+    def pool(self, service: ServiceName) -> tuple[Upstream, ...]:
+        """Return the upstreams that may get new flows of a service."""
+        return self._pools.get(service, ())
+
+    def put(self, entry: UpstreamEntry, now_ms: float) -> Upstream:
+        """Take a new or changed entry."""
+        upstream = self._by_id.get(entry.upstream)
+        if upstream is None:
+            upstream = Upstream(entry, token_of(entry.upstream), now_ms)
+            self._by_id[entry.upstream] = upstream
+            self._claim_token(upstream)
+        else:
+            upstream.take(entry, now_ms)
+        self._rebuild()
+        return upstream
+
+    def remove(self, upstream_id: UpstreamId, now_ms: float) -> Upstream | None:
+        """Record that an entry has disappeared."""
+        upstream = self._by_id.get(upstream_id)
+        if upstream is not None:
+            upstream.lose(now_ms)
+            self._rebuild()
+        return upstream
+
+    def keep_only(self, present: set[UpstreamId], now_ms: float) -> None:
+        """Record that all entries but those of ``present`` have disappeared."""
+        for upstream_id, upstream in self._by_id.items():
+            is_listed = upstream.state in {UpstreamState.READY, UpstreamState.DRAINING}
+            if is_listed and upstream_id not in present:
+                upstream.lose(now_ms)
+        self._rebuild()
+
+    def expire(self, now_ms: float) -> list[Upstream]:
+        """Age missing and departed upstreams; return those that are now gone."""
+        missed: list[Upstream] = []
+        for upstream in self:
+            age_ms = now_ms - upstream.changed_ms
+            if upstream.state is UpstreamState.MISSING:
+                if age_ms > self._missing_kept_ms:
+                    upstream.state = UpstreamState.GONE
+                    missed.append(upstream)
+            elif upstream.state is UpstreamState.GONE:
+                if age_ms > self._departed_kept_ms:
+                    self._forget(upstream)
+        if missed:
+            self._rebuild()
+        return missed
+
+    def _claim_token(self, upstream: Upstream) -> None:
+        # Two ids may have the same token. All instances give it to the smaller id;
+        # the other one gets no new flows until the token is free.
+        holder = self._by_token.get(upstream.token)
+        if holder is None or upstream.entry.upstream < holder.entry.upstream:
+            self._by_token[upstream.token] = upstream
+
+    def _forget(self, upstream: Upstream) -> None:
+        del self._by_id[upstream.entry.upstream]
+        if self._by_token.get(upstream.token) is upstream:
+            del self._by_token[upstream.token]
+            for other in self._by_id.values():
+                if other.token == upstream.token:
+                    self._claim_token(other)
+            self._rebuild()
+
+    def _rebuild(self) -> None:
+        pools: dict[ServiceName, list[Upstream]] = {}
+        for upstream in self._by_id.values():
+            is_eligible = upstream.state in {UpstreamState.READY, UpstreamState.MISSING}
+            if is_eligible and self._by_token.get(upstream.token) is upstream:
+                pools.setdefault(upstream.entry.service, []).append(upstream)
+        self._pools = {service: tuple(pool) for service, pool in pools.items()}
+
+
+def token_of(upstream_id: UpstreamId) -> Token:
+    """Return the token of an upstream, the same on every instance."""
+    return Token(crc32(upstream_id.encode()) or 1) if upstream_id else NO_TOKEN
--- a/src/cardamomtiller/identity.py
+++ b/src/cardamomtiller/identity.py
@@ -3,22 +3,21 @@
 import ipaddress
 from dataclasses import dataclass
 from enum import Enum
-from typing import NewType
-
-ServiceName = NewType('ServiceName', str)
-CustomerId = NewType('CustomerId', str)
-PlanName = NewType('PlanName', str)
-UpstreamId = NewType('UpstreamId', str)
-InstanceId = NewType('InstanceId', str)
-DomainName = NewType('DomainName', str)
-RegionName = NewType('RegionName', str)
-DocumentName = NewType('DocumentName', str)
-Version = NewType('Version', int)
-FlowId = NewType('FlowId', bytes)
-RequestId = NewType('RequestId', int)
-Incarnation = NewType('Incarnation', int)
-
-MS_PER_S = 1000
+
+from cardamomtiller.ids import MS_PER_S as MS_PER_S
+from cardamomtiller.ids import CustomerId as CustomerId
+from cardamomtiller.ids import DocumentName as DocumentName
+from cardamomtiller.ids import DomainName as DomainName
+from cardamomtiller.ids import FlowId as FlowId
+from cardamomtiller.ids import Incarnation as Incarnation
+from cardamomtiller.ids import InstanceId as InstanceId
+from cardamomtiller.ids import PlanName as PlanName
+from cardamomtiller.ids import RegionName as RegionName
+from cardamomtiller.ids import RequestId as RequestId
+from cardamomtiller.ids import ServiceName as ServiceName
+from cardamomtiller.ids import UpstreamId as UpstreamId
+from cardamomtiller.ids import Version as Version
+
 FLOW_ID_BYTES = 16
 
 
--- /dev/null
+++ b/tools/build_platform.py
@@ -0,0 +1,32 @@
+"""Lay out the program that the platform runs, compiled, under ``target/``."""
+
+import compileall
+import py_compile
+import shutil
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+TARGET = ROOT / 'target' / 'app'
+SKIPPED = shutil.ignore_patterns('__pycache__')
+
+
+def main() -> int:
+    """Copy the sources and compile them, so that a start compiles nothing."""
+    shutil.rmtree(TARGET, ignore_errors=True)
+    shutil.copytree(ROOT / 'platform', TARGET, ignore=SKIPPED)
+    shutil.copytree(
+        ROOT / 'src' / 'cardamomtiller',
+        TARGET / 'cardamomtiller',
+        ignore=SKIPPED,
+    )
+    is_compiled = compileall.compile_dir(
+        TARGET,
+        quiet=1,
+        invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+    )
+    return 0 if is_compiled else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
