Read records once per failure domain and from peers otherwise

Each failure domain has one reader of the published source; the others wait for changes at it over HTTP and go to the next member, and in the end to the source, when it is silent or stale. Members find each other by announcements.

Cause: every instance kept a watch of its own.

--- /dev/null
+++ b/src/cardamomtiller/forwarding/endpoints.py
@@ -0,0 +1,100 @@
+"""The addresses of a process besides the packet address.
+
+This module and what it imports are loaded after the first packets were forwarded.
+"""
+
+import select
+from typing import NamedTuple
+
+from cardamomtiller.forwarding.decisionlog import DecisionLog
+from cardamomtiller.forwarding.exchange import Exchange, ExchangeOptions
+from cardamomtiller.forwarding.httpserver import Handler, HttpServer
+from cardamomtiller.forwarding.member import Member
+from cardamomtiller.forwarding.meters import Meters
+from cardamomtiller.forwarding.metricspage import MetricsPage
+from cardamomtiller.forwarding.peersource import CHANGES_PATH
+from cardamomtiller.forwarding.picture import Picture
+from cardamomtiller.forwarding.upstreams import SocketAddress
+
+
+class EndpointOptions(NamedTuple):
+    """Addresses, and what is said there."""
+
+    health_address: SocketAddress
+    health_path: str
+    metrics_address: SocketAddress
+    metrics_path: str
+    max_connections: int
+    exchange: ExchangeOptions
+
+
+class Endpoints:
+    """Health checks, metrics, and the exchange with other instances."""
+
+    def __init__(
+        self,
+        options: EndpointOptions,
+        answer_health_check: Handler,
+        picture: Picture,
+        log: DecisionLog,
+        meters: Meters,
+        poller: select.epoll,
+        now_ms: float,
+    ) -> None:
+        """Listen on all addresses."""
+        self._poller = poller
+        self._exchange = Exchange(options.exchange, picture, log, meters, now_ms)
+        inner_address = (options.exchange.me.host, options.exchange.inner_port)
+        most = options.max_connections
+        self._servers = (
+            HttpServer(
+                options.health_address,
+                {options.health_path: answer_health_check},
+                most,
+            ),
+            HttpServer(
+                options.metrics_address,
+                {options.metrics_path: MetricsPage(meters).answer},
+                most,
+            ),
+            HttpServer(
+                inner_address,
+                {CHANGES_PATH: self._exchange.answer_changes},
+                most,
+            ),
+        )
+        for descriptor in self._exchange.descriptor, *self._listeners():
+            poller.register(descriptor, select.EPOLLIN)
+
+    def serve(self, descriptor: int, now_ms: float) -> None:
+        """Serve a descriptor that can be read."""
+        if descriptor == self._exchange.descriptor:
+            self._exchange.receive(now_ms)
+            return
+        for server in self._servers:
+            if descriptor == server.listener:
+                accepted = server.accept()
+                if accepted is not None:
+                    self._poller.register(accepted, select.EPOLLIN)
+                return
+            if server.owns(descriptor):
+                server.receive(descriptor, now_ms)
+                return
+
+    def answer_waiting(self, now_ms: float) -> None:
+        """Answer requests that waited for a change or for their time to pass."""
+        for server in self._servers:
+            server.answer_waiting(now_ms)
+
+    def tick(self, now_ms: float) -> tuple[Member, ...]:
+        """Announce this instance if it is time; return the known peers."""
+        self._exchange.announce(now_ms)
+        self.answer_waiting(now_ms)
+        return self._exchange.table.peers()
+
+    def leave(self, now_ms: float) -> None:
+        """Tell the peers that this instance is about to stop."""
+        self._exchange.leave(now_ms)
+
+    def _listeners(self) -> tuple[int, ...]:
+        return tuple(server.listener for server in self._servers)
--- /dev/null
+++ b/src/cardamomtiller/forwarding/exchange.py
@@ -0,0 +1,156 @@
+"""Announcements to other instances and the picture that they may read."""
+
+import socket
+from typing import NamedTuple
+
+from cardamomtiller.forwarding.decisionlog import DecisionLog
+from cardamomtiller.forwarding.fleet import (
+    AnnouncementError,
+    FleetOptions,
+    MemberTable,
+    decode_announcement,
+    encode_announcement,
+)
+from cardamomtiller.forwarding.httpserver import Reply, Request
+from cardamomtiller.forwarding.member import Member
+from cardamomtiller.forwarding.meters import Meters
+from cardamomtiller.forwarding.peersource import PeerReply, encode_reply
+from cardamomtiller.forwarding.picture import Picture
+from cardamomtiller.forwarding.records import Revision
+from cardamomtiller.ids import DomainName
+
+MAX_DATAGRAM_BYTES = 65_535
+DATAGRAMS_PER_TURN = 64
+LONGEST_WAIT_MS = 5000.0
+MALFORMED = Reply(400, 'text/plain', b'after and wait_ms must be numbers\n')
+INCOMPLETE = Reply(503, 'text/plain', b'no picture yet\n')
+
+
+class ExchangeOptions(NamedTuple):
+    """Who this instance is, where the others are, and the pace."""
+
+    me: Member
+    inner_port: int
+    seeds: tuple[str, ...]
+    fleet: FleetOptions
+
+
+class Exchange:
+    """Keeps the table of members and answers peers that read the picture."""
+
+    def __init__(
+        self,
+        options: ExchangeOptions,
+        picture: Picture,
+        log: DecisionLog,
+        meters: Meters,
+        now_ms: float,
+    ) -> None:
+        """Open the socket for announcements."""
+        self._options = options
+        self._picture = picture
+        self._log = log
+        self._meters = meters
+        self._started_ms = now_ms
+        self._announce_at_ms = now_ms
+        self.table = MemberTable(options.me, options.fleet)
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((options.me.host, options.inner_port))
+        self._socket.setblocking(False)
+
+    @property
+    def descriptor(self) -> int:
+        """Descriptor of the socket for announcements."""
+        return self._socket.fileno()
+
+    def receive(self, now_ms: float) -> None:
+        """Take the announcements that have arrived."""
+        for _ in range(DATAGRAMS_PER_TURN):
+            try:
+                datagram, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:
+                # The address of an earlier announcement has nobody behind it.
+                self._meters.count('announcements_unreachable')
+                continue
+            self._take(datagram, address[0], now_ms)
+
+    def announce(self, now_ms: float) -> None:
+        """Send an announcement if it is time."""
+        if now_ms < self._announce_at_ms:
+            return
+        interval_ms = self.table.interval_ms(now_ms - self._started_ms)
+        self._announce_at_ms = now_ms + interval_ms
+        self.table.expire(now_ms)
+        is_alone = not self.table.peers()
+        for host, domain in self.table.receivers(self._options.seeds):
+            self._send(host, domain, now_ms, is_reply_wanted=is_alone)
+
+    def leave(self, now_ms: float) -> None:
+        """Tell the failure domain that this instance is about to stop."""
+        for peer in self.table.peers():
+            self._send(peer.host, peer.domain, now_ms, is_leaving=True)
+
+    def answer_changes(self, request: Request, now_ms: float) -> Reply | None:
+        """Answer a peer that reads the picture; let it wait if it has all."""
+        try:
+            after = Revision(int(request.query['after']))
+            wait_ms = min(float(request.query['wait_ms']), LONGEST_WAIT_MS)
+        except (KeyError, ValueError):
+            return MALFORMED
+        if not self._picture.is_complete:
+            return INCOMPLETE
+        is_due = now_ms >= request.received_ms + wait_ms
+        if self._picture.revision <= after and not is_due:
+            return None
+        batch = self._picture.changes_after(after)
+        age_ms = max(0.0, self._picture.age_ms(now_ms))
+        body = encode_reply(PeerReply(batch, age_ms))
+        self._meters.count('peer_replies')
+        return Reply(200, 'application/octet-stream', body)
+
+    def _take(self, datagram: bytes, host: str, now_ms: float) -> None:
+        try:
+            announcement = decode_announcement(datagram)
+        except AnnouncementError as error:
+            self._meters.count('announcements_malformed')
+            self._log.write('announcement_malformed', now_ms, host=host, error=str(error))
+            return
+        sender = announcement.sender
+        is_new = self.table.take(announcement, now_ms)
+        if is_new or announcement.is_leaving:
+            self._log.write(
+                'member_leaving' if announcement.is_leaving else 'member_found',
+                now_ms,
+                member=sender.instance,
+                domain=sender.domain,
+                host=sender.host,
+                members=len(self.table),
+            )
+        if announcement.is_reply_wanted:
+            self._send(sender.host, sender.domain, now_ms)
+
+    def _send(
+        self,
+        host: str,
+        domain: DomainName,
+        now_ms: float,
+        *,
+        is_reply_wanted: bool = False,
+        is_leaving: bool = False,
+    ) -> None:
+        announcement = self.table.announcement(
+            domain,
+            now_ms,
+            is_reply_wanted=is_reply_wanted,
+            is_leaving=is_leaving,
+        )
+        datagram = encode_announcement(announcement)
+        try:
+            self._socket.sendto(datagram, (host, self._options.inner_port))
+        except OSError:
+            self._meters.count('announcements_unsent')
+            return
+        self._meters.count('announcements_sent')
+        self._meters.count('announcement_bytes', len(datagram))
--- /dev/null
+++ b/src/cardamomtiller/forwarding/fleet.py
@@ -0,0 +1,240 @@
+"""The other instances, as announcements tell of them.
+
+Every instance announces itself a few times a second while it is new and once a
+second later, to a seed and to some instances of its failure domain. Announcements
+pass on other members, so each instance comes to know its failure domain. Nothing
+depends on a complete table: an instance that knows nobody works alone.
+"""
+
+from collections.abc import Iterable, Iterator, Sequence
+from itertools import chain, islice
+from typing import NamedTuple, TypeVar
+
+import ujson
+
+from cardamomtiller.forwarding.member import Member
+from cardamomtiller.ids import DomainName, InstanceId
+
+ItemT = TypeVar('ItemT')
+
+MESSAGE_VERSION = 1
+
+
+class FleetOptions(NamedTuple):
+    """
+    Pace and bounds of announcements.
+
+    Attributes
+    ----------
+    interval_ms
+        Time between announcements.
+    new_interval_ms, new_for_ms
+        Time between announcements of an instance that has just started.
+    fanout
+        Members that get each announcement, besides a seed.
+    passed_on
+        Other members that an announcement tells of.
+    kept_ms
+        How long a member that is not heard of stays in the table.
+    """
+
+    interval_ms: float
+    new_interval_ms: float
+    new_for_ms: float
+    fanout: int
+    passed_on: int
+    kept_ms: float
+
+
+class Sighting(NamedTuple):
+    """A member and how long ago it was heard of."""
+
+    member: Member
+    age_ms: float
+
+
+class Announcement(NamedTuple):
+    """
+    A message about the sender and members that it has heard of.
+
+    Attributes
+    ----------
+    is_reply_wanted
+        Whether the sender knows too little and asks for an answer.
+    is_leaving
+        Whether the sender is about to stop.
+    """
+
+    sender: Member
+    is_reply_wanted: bool
+    is_leaving: bool
+    sightings: tuple[Sighting, ...]
+
+
+class AnnouncementError(ValueError):
+    """A datagram is not an announcement."""
+
+
+def encode_announcement(announcement: Announcement) -> bytes:
+    """Return the datagram of an announcement."""
+    message = {
+        'version': MESSAGE_VERSION,
+        'sender': list(announcement.sender),
+        'reply': announcement.is_reply_wanted,
+        'leaving': announcement.is_leaving,
+        'members': [
+            [*sighting.member, round(sighting.age_ms)]
+            for sighting in announcement.sightings
+        ],
+    }
+    return ujson.dumps(message, escape_forward_slashes=False).encode()
+
+
+def decode_announcement(datagram: bytes) -> Announcement:
+    """
+    Read a datagram.
+
+    Raises
+    ------
+    AnnouncementError
+        If it is not an announcement of this version.
+    """
+    try:
+        message = ujson.loads(datagram)
+        if message['version'] != MESSAGE_VERSION:
+            raise AnnouncementError(f'version {message["version"]!r}')
+        return Announcement(
+            sender=_read_member(message['sender']),
+            is_reply_wanted=bool(message['reply']),
+            is_leaving=bool(message['leaving']),
+            sightings=tuple(
+                Sighting(_read_member(row[:-1]), max(0.0, float(row[-1])))
+                for row in message['members']
+            ),
+        )
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        raise AnnouncementError(f'not an announcement: {error!r}') from error
+
+
+class MemberTable:
+    """Members by host, with the time at which each was last heard of."""
+
+    def __init__(self, me: Member, options: FleetOptions) -> None:
+        """Start with nobody but this instance."""
+        self.me = me
+        self._options = options
+        self._turn = 0
+        self._members: dict[str, Member] = {}
+        self._heard_ms: dict[str, float] = {}
+        self._left_ms: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        """Return the number of other members."""
+        return len(self._members)
+
+    def peers(self) -> tuple[Member, ...]:
+        """Return the other members of the own failure domain."""
+        members = tuple(self._members.values())
+        return tuple(one for one in members if one.domain == self.me.domain)
+
+    def take(self, announcement: Announcement, now_ms: float) -> bool:
+        """Take note of an announcement; return whether the sender is new."""
+        sender = announcement.sender
+        if announcement.is_leaving:
+            self._forget(sender.host)
+            self._left_ms[sender.host] = now_ms
+            return False
+        self._left_ms.pop(sender.host, None)
+        is_new = sender.host not in self._members
+        self._hear(sender, now_ms)
+        for sighting in announcement.sightings:
+            self._hear(sighting.member, now_ms - sighting.age_ms)
+        self.expire(now_ms)
+        return is_new
+
+    def expire(self, now_ms: float) -> None:
+        """Forget members that have not been heard of for long."""
+        oldest_ms = now_ms - self._options.kept_ms
+        silent = [host for host, at_ms in self._heard_ms.items() if at_ms < oldest_ms]
+        for host in silent:
+            self._forget(host)
+        for left in [host for host, at in self._left_ms.items() if at < oldest_ms]:
+            del self._left_ms[left]
+
+    def announcement(
+        self,
+        domain: DomainName,
+        now_ms: float,
+        is_reply_wanted: bool = False,
+        is_leaving: bool = False,
+    ) -> Announcement:
+        """Return an announcement for a receiver in a failure domain."""
+        known = [one for one in self._members.values() if one.domain == domain]
+        return Announcement(
+            self.me,
+            is_reply_wanted,
+            is_leaving,
+            tuple(
+                Sighting(member, now_ms - self._heard_ms[member.host])
+                for member in self._in_turn(known, self._options.passed_on)
+            ),
+        )
+
+    def receivers(self, seeds: Iterable[str]) -> Iterator[tuple[str, DomainName]]:
+        """Iterate over the hosts that get the next announcement."""
+        self._turn += 1
+        for peer in self._in_turn(self.peers(), self._options.fanout):
+            yield peer.host, peer.domain
+        others = [seed for seed in seeds if seed != self.me.host]
+        for seed in self._in_turn(others, 1):
+            yield seed, self.me.domain
+
+    def interval_ms(self, age_ms: float) -> float:
+        """Return the time to the next announcement of an instance of an age."""
+        if age_ms < self._options.new_for_ms:
+            return self._options.new_interval_ms
+        return self._options.interval_ms
+
+    def _in_turn(self, items: Sequence[ItemT], count: int) -> Iterator[ItemT]:
+        """Iterate over some items, others each turn, so that all have theirs."""
+        if not items:
+            return iter(())
+        start = self._turn * count % len(items)
+        return islice(chain(items[start:], items[:start]), count)
+
+    def _hear(self, member: Member, heard_ms: float) -> None:
+        if member.host == self.me.host:
+            return
+        if heard_ms <= self._left_ms.get(member.host, heard_ms - 1):
+            return
+        if heard_ms > self._heard_ms.get(member.host, heard_ms - 1):
+            self._heard_ms[member.host] = heard_ms
+            self._members[member.host] = member
+
+    def _forget(self, host: str) -> None:
+        self._members.pop(host, None)
+        self._heard_ms.pop(host, None)
+
+
+def _read_member(row: list[object]) -> Member:
+    instance, domain, host, capacity = row
+    if not all(isinstance(text, str) for text in (instance, domain, host)):
+        raise AnnouncementError('member without names')
+    if not isinstance(capacity, (int, float)):
+        raise AnnouncementError('member without capacity')
+    return Member(
+        InstanceId(str(instance)),
+        DomainName(str(domain)),
+        str(host),
+        float(capacity),
+    )
+
+
+DEFAULT_FLEET = FleetOptions(
+    interval_ms=1000,
+    new_interval_ms=200,
+    new_for_ms=3000,
+    fanout=2,
+    passed_on=8,
+    kept_ms=8000,
+)
--- a/src/cardamomtiller/forwarding/following.py
+++ b/src/cardamomtiller/forwarding/following.py
@@ -1,137 +1,173 @@
-"""The task that reads the source and hands batches to the packet path."""
+"""The task that reads records and hands them to the packet path."""
 
 import threading
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
+from cardamomtiller.forwarding.member import Member
+from cardamomtiller.forwarding.peersource import PeerConnection
 from cardamomtiller.forwarding.records import (
     NO_REVISION,
     Batch,
     HistoryLostError,
     RecordSource,
-    Revision,
     SourceError,
 )
+from cardamomtiller.forwarding.sources import SourceChoice
 from cardamomtiller.ids import MS_PER_S
 
 
 class FollowOptions(NamedTuple):
     """
-    How the source is read.
+    How records are read.
 
     Attributes
     ----------
-    wait_ms
-        Longest wait for a change in one call.
+    wait_ms, peer_wait_ms
+        Longest wait for a change in one call to the source and to a peer.
+    peer_timeout_ms
+        How much later than that a peer's answer may come.
     pause_ms
         Pause after a change, so that changes in quick succession share a call.
     retry_ms, largest_retry_ms
-        First and largest pause after a failed call.
+        First and largest pause after a failed call to the source.
+    lone_ms
+        How long a new instance waits for peers before it waits for changes.
     """
 
     wait_ms: int
+    peer_wait_ms: int
+    peer_timeout_ms: float
     pause_ms: float
     retry_ms: float
     largest_retry_ms: float
+    lone_ms: float
 
 
 class Reading(NamedTuple):
-    """Result of one call: a batch, or an error."""
+    """Result of one call: a batch or an error, and whom it came from."""
 
     batch: Batch | None
     error: str | None
-    asked_ms: float
+    host: str
+    is_from_source: bool
+    confirmed_ms: float
 
 
 class Follower:
     """
-    Reads the source in a thread of its own while it is enabled.
+    Reads records in a thread of its own, from the source or from a peer.
 
-    The packet path takes the results with ``take`` and is woken for each.
+    The packet path sets ``peers``, takes the results with ``take`` and is woken for
+    each.
     """
 
     def __init__(
         self,
+        me: Member,
         source: RecordSource,
+        inner_port: int,
+        choice: SourceChoice,
         options: FollowOptions,
         read_steady_ms: Callable[[], float],
         wake: Callable[[], None],
     ) -> None:
         """Prepare; ``start`` begins to read."""
+        self._me = me
         self._source = source
+        self._inner_port = inner_port
+        self._choice = choice
         self._options = options
         self._read_steady_ms = read_steady_ms
         self._wake = wake
         self._results: deque[Reading] = deque()
-        self._enabled = threading.Event()
         self._revision = NO_REVISION
-        self._calls = 0
-
-    @property
-    def is_enabled(self) -> bool:
-        """Whether the source is being read."""
-        return self._enabled.is_set()
-
-    @property
-    def calls(self) -> int:
-        """Number of calls that were made."""
-        return self._calls
+        self._peer: PeerConnection | None = None
+        self._retry_ms = options.retry_ms
+        self.peers: tuple[Member, ...] = ()
+        self.source_calls = 0
+        self.peer_calls = 0
 
     def start(self) -> None:
         """Read from now on."""
-        self._enabled.set()
         threading.Thread(target=self._run, name='follower', daemon=True).start()
 
-    def enable(self, revision: Revision) -> None:
-        """Read again, from a revision on."""
-        self._revision = revision
-        self._enabled.set()
-
-    def disable(self) -> None:
-        """Stop reading after the call in progress."""
-        self._enabled.clear()
-
     def take(self) -> Reading | None:
         """Return the next result, None if there is none."""
         return self._results.popleft() if self._results else None
 
     def _run(self) -> None:
-        retry_ms = self._options.retry_ms
+        self._step()
+        self._pause(self._options.lone_ms)
         while True:
-            if not self._enabled.is_set():
-                self._source.close()
-                self._enabled.wait()
-            reading = self._read()
-            self._results.append(reading)
-            self._wake()
-            if reading.batch is None:
-                self._pause(retry_ms)
-                retry_ms = min(retry_ms * 2, self._options.largest_retry_ms)
-                continue
-            retry_ms = self._options.retry_ms
-            if reading.batch.after is not None and reading.batch.records:
-                self._pause(self._options.pause_ms)
+            self._step()
 
-    def _read(self) -> Reading:
-        asked_ms = self._read_steady_ms()
-        revision = self._revision
-        self._calls += 1
+    def _step(self) -> None:
+        member = self._choice.choose(self.peers, self._read_steady_ms())
+        is_source = member.host == self._me.host
         try:
-            batch = self._ask(revision)
-        except HistoryLostError as error:
-            self._revision = NO_REVISION
-            return Reading(None, str(error), asked_ms)
+            reading = self._read_source() if is_source else self._read_peer(member)
         except SourceError as error:
+            self._note_failure(member, is_source, error)
+            return
+        self._put(reading)
+        if is_source:
+            self._retry_ms = self._options.retry_ms
+            if reading.batch is not None and reading.batch.records:
+                self._pause(self._options.pause_ms)
+
+    def _note_failure(
+        self,
+        member: Member,
+        is_source: bool,
+        error: SourceError,
+    ) -> None:
+        now_ms = self._read_steady_ms()
+        self._put(Reading(None, str(error), member.host, is_source, now_ms))
+        if isinstance(error, HistoryLostError):
+            self._revision = NO_REVISION
+            return
+        self._choice.fail(member.host, now_ms)
+        if is_source:
             self._source.close()
-            return Reading(None, str(error), asked_ms)
+            self._pause(self._retry_ms)
+            largest_ms = self._options.largest_retry_ms
+            self._retry_ms = min(self._retry_ms * 2, largest_ms)
+
+    def _read_source(self) -> Reading:
+        self.source_calls += 1
+        if self._revision == NO_REVISION:
+            batch = self._source.read_all()
+        else:
+            wait_ms = self._options.wait_ms
+            batch = self._source.wait_for_changes(self._revision, wait_ms)
         self._revision = batch.revision
-        return Reading(batch, None, asked_ms)
+        now_ms = self._read_steady_ms()
+        return Reading(batch, None, self._me.host, True, now_ms)
+
+    def _read_peer(self, member: Member) -> Reading:
+        self.peer_calls += 1
+        peer = self._connect(member)
+        reply = peer.read(self._revision, self._options.peer_wait_ms)
+        if self._choice.is_stale(reply.age_ms):
+            raise SourceError(f'picture of {member.host} is {reply.age_ms:.0f} ms old')
+        self._revision = max(self._revision, reply.batch.revision)
+        confirmed_ms = self._read_steady_ms() - reply.age_ms
+        return Reading(reply.batch, None, member.host, False, confirmed_ms)
+
+    def _connect(self, member: Member) -> PeerConnection:
+        address = (member.host, self._inner_port)
+        if self._peer is None or self._peer.address != address:
+            if self._peer is not None:
+                self._peer.close()
+            self._source.close()
+            self._peer = PeerConnection(address, self._options.peer_timeout_ms)
+        return self._peer
 
-    def _ask(self, revision: Revision) -> Batch:
-        if revision == NO_REVISION:
-            return self._source.read_all()
-        return self._source.wait_for_changes(revision, self._options.wait_ms)
+    def _put(self, reading: Reading) -> None:
+        self._results.append(reading)
+        self._wake()
 
     def _pause(self, pause_ms: float) -> None:
         threading.Event().wait(pause_ms / MS_PER_S)
--- a/src/cardamomtiller/forwarding/forwarder.py
+++ b/src/cardamomtiller/forwarding/forwarder.py
@@ -113,10 +113,6 @@
         if upstream is not None:
             self._log_upstream(upstream, now_ms, 'entry_removed')
 
-    def keep_only(self, present: set[UpstreamId], now_ms: float) -> None:
-        """Take note of a complete list of the present entries."""
-        self.directory.keep_only(present, now_ms)
-
     def handle(self, datagram: bytes, now_ms: float) -> Iterator[Delivery]:
         """
         Decide on one datagram of a client.
--- a/src/cardamomtiller/forwarding/httpserver.py
+++ b/src/cardamomtiller/forwarding/httpserver.py
@@ -1,4 +1,4 @@
-"""A small HTTP server for health checks and metrics, driven by the node's loop."""
+"""A small HTTP server for health checks, metrics and peers, driven by a loop."""
 
 import socket
 from collections.abc import Callable, Mapping
@@ -7,8 +7,15 @@
 import httptools
 
 MAX_REQUEST_BYTES = 8192
-MAX_CONNECTIONS = 32
-BACKLOG = 64
+BACKLOG = 128
+
+
+class Request(NamedTuple):
+    """Path and query of a request, and when it arrived."""
+
+    path: str
+    query: dict[str, str]
+    received_ms: float
 
 
 class Reply(NamedTuple):
@@ -19,73 +26,111 @@
     body: bytes
 
 
-Handler = Callable[[], Reply]
+# A handler returns None while the request is to wait.
+Handler = Callable[[Request, float], Reply | None]
 REASONS = {200: 'OK', 400: 'Bad Request', 404: 'Not Found', 503: 'Service Unavailable'}
 NOT_FOUND = Reply(404, 'text/plain', b'not found\n')
 BAD_REQUEST = Reply(400, 'text/plain', b'bad request\n')
 
 
+def parse_query(text: str) -> dict[str, str]:
+    """Return the pairs of a query whose values need no decoding."""
+    pairs = (part.partition('=') for part in text.split('&') if part)
+    return {name: value for name, _, value in pairs}
+
+
 class Connection:
-    """One connection of a caller; callbacks of the parser collect its request."""
+    """One connection of a caller; callbacks of the parser collect its requests."""
 
     def __init__(self, peer: socket.socket, handlers: Mapping[str, Handler]) -> None:
         """Take over an accepted socket."""
         self.peer = peer
         self._handlers = handlers
         self._parser = httptools.HttpRequestParser(self)
-        self._path = ''
-        self._received_bytes = 0
-        self._replies: list[Reply] = []
+        self._url = b''
+        self._now_ms = 0.0
+        self._waiting: list[Request] = []
+        self._unsent = b''
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a request has no reply yet or a reply is not sent yet."""
+        return bool(self._waiting or self._unsent)
 
     def on_url(self, url: bytes) -> None:
         """Collect a part of the path."""
-        self._path += url.decode('latin-1')
+        self._url += url
 
     def on_message_complete(self) -> None:
-        """Answer a complete request."""
-        path = self._path.partition('?')[0]
-        self._path = ''
-        self._received_bytes = 0
-        handler = self._handlers.get(path)
-        self._replies.append(handler() if handler else NOT_FOUND)
-
-    def serve(self) -> bool:
-        """Read what has arrived and answer it; return whether to go on."""
+        """Take a complete request."""
+        path, _, query = self._url.decode('latin-1').partition('?')
+        self._url = b''
+        self._waiting.append(Request(path, parse_query(query), self._now_ms))
+
+    def receive(self, now_ms: float) -> bool:
+        """Read what has arrived; return whether the connection stays open."""
+        self._now_ms = now_ms
         try:
             data = self.peer.recv(MAX_REQUEST_BYTES)
         except BlockingIOError:
             return True
         except OSError:
             return False
-        self._received_bytes += len(data)
-        if not data or self._received_bytes > MAX_REQUEST_BYTES:
+        if not data or len(self._url) > MAX_REQUEST_BYTES:
             return False
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self._replies.append(BAD_REQUEST)
-        replies, self._replies = self._replies, []
-        return all([self._send(reply) for reply in replies])
-
-    def _send(self, reply: Reply) -> bool:
+        except (httptools.HttpParserError, UnicodeDecodeError):
+            self._queue(BAD_REQUEST)
+            self._send()
+            return False
+        return self.answer(now_ms)
+
+    def answer(self, now_ms: float) -> bool:
+        """Answer what can be answered; return whether the connection stays open."""
+        while self._waiting:
+            request = self._waiting[0]
+            handler = self._handlers.get(request.path)
+            reply = handler(request, now_ms) if handler else NOT_FOUND
+            if reply is None:
+                break
+            self._waiting.pop(0)
+            self._queue(reply)
+        return self._send()
+
+    def _queue(self, reply: Reply) -> None:
         head = (
             f'HTTP/1.1 {reply.status} {REASONS[reply.status]}\r\n'
             f'Content-Type: {reply.content_type}\r\n'
             f'Content-Length: {len(reply.body)}\r\n\r\n'
         )
-        message = head.encode('latin-1') + reply.body
+        self._unsent += head.encode('latin-1') + reply.body
+
+    def _send(self) -> bool:
+        if not self._unsent:
+            return True
         try:
-            return self.peer.send(message) == len(message)
+            sent = self.peer.send(self._unsent)
+        except BlockingIOError:
+            return True
         except OSError:
             return False
+        self._unsent = self._unsent[sent:]
+        return True
 
 
 class HttpServer:
-    """Accepts connections on one address; the owner polls ``descriptors``."""
-
-    def __init__(self, address: tuple[str, int], handlers: Mapping[str, Handler]):
+    """Accepts connections on one address; the owner polls its descriptors."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        handlers: Mapping[str, Handler],
+        max_connections: int,
+    ) -> None:
         """Listen."""
         self._handlers = handlers
+        self._max_connections = max_connections
         self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind(address)
@@ -104,22 +149,28 @@
             peer, _ = self._listener.accept()
         except OSError:
             return None
-        if len(self._connections) >= MAX_CONNECTIONS:
+        if len(self._connections) >= self._max_connections:
             peer.close()
             return None
         peer.setblocking(False)
         self._connections[peer.fileno()] = Connection(peer, self._handlers)
         return peer.fileno()
 
-    def serve(self, descriptor: int) -> bool:
-        """Serve a connection; return False once it is closed."""
-        connection = self._connections[descriptor]
-        if connection.serve():
-            return True
-        del self._connections[descriptor]
-        connection.peer.close()
-        return False
-
     def owns(self, descriptor: int) -> bool:
         """Return whether a descriptor is one of the connections."""
         return descriptor in self._connections
+
+    def receive(self, descriptor: int, now_ms: float) -> None:
+        """Serve a connection that can be read."""
+        if not self._connections[descriptor].receive(now_ms):
+            self._close(descriptor)
+
+    def answer_waiting(self, now_ms: float) -> None:
+        """Ask the handlers of waiting requests again and send what was left."""
+        for descriptor, connection in tuple(self._connections.items()):
+            if connection.is_waiting and not connection.answer(now_ms):
+                self._close(descriptor)
+
+    def _close(self, descriptor: int) -> None:
+        # A closed descriptor leaves the poller by itself.
+        self._connections.pop(descriptor).peer.close()
--- a/src/cardamomtiller/forwarding/node.py
+++ b/src/cardamomtiller/forwarding/node.py
@@ -1,26 +1,31 @@
-"""The process: sockets and the loop that connects them to the decisions."""
+"""The process: the packet socket and the loop that connects it to the decisions."""
 
 import os
 import select
 import signal
-import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from enum import Enum
 from types import FrameType
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from cardamomtiller.forwarding.decisionlog import DecisionLog, LogOptions
 from cardamomtiller.forwarding.following import Follower, FollowOptions, Reading
 from cardamomtiller.forwarding.forwarder import Forwarder, deliver_all
-from cardamomtiller.forwarding.httpserver import HttpServer, Reply
+from cardamomtiller.forwarding.member import Member
 from cardamomtiller.forwarding.meters import Meters
 from cardamomtiller.forwarding.options import ForwardingOptions
 from cardamomtiller.forwarding.packet import PacketFormat
 from cardamomtiller.forwarding.picture import Picture
+from cardamomtiller.forwarding.rawsocket import datagram_socket
 from cardamomtiller.forwarding.records import RecordDecoder, RecordSource
+from cardamomtiller.forwarding.sources import SourceChoice, SourceOptions
 from cardamomtiller.forwarding.upstreams import SocketAddress
-from cardamomtiller.ids import MS_PER_S, DomainName, InstanceId
+from cardamomtiller.ids import MS_PER_S
+
+if TYPE_CHECKING:
+    from cardamomtiller.forwarding.endpoints import EndpointOptions, Endpoints
+    from cardamomtiller.forwarding.httpserver import Reply, Request
 
 STANDARD_OUTPUT = 1
 MAX_DATAGRAM_BYTES = 65_535
@@ -42,15 +47,14 @@
         Room for packets that arrive while the process does other work.
     """
 
-    instance: InstanceId
-    domain: DomainName
+    me: Member
     packet_address: SocketAddress
-    health_address: SocketAddress
-    health_path: str
+    inner_port: int
     stop_ms: float
     tick_ms: float
     receive_buffer_bytes: int
     follow: FollowOptions
+    sources: SourceOptions
     forwarding: ForwardingOptions
     log: LogOptions
 
@@ -64,7 +68,7 @@
 
 
 class Node:
-    """One process: a loop over its sockets, and the task that reads the source."""
+    """One process: a loop over its sockets, and the task that reads records."""
 
     def __init__(
         self,
@@ -73,23 +77,34 @@
         source: RecordSource,
         decoder: RecordDecoder,
     ) -> None:
-        """Open the sockets; packets wait in them until ``run``."""
+        """Open the packet socket, where packets wait until ``run``."""
         self._options = options
-        self._packets = self._open_packet_socket()
+        self._packets = datagram_socket(
+            options.packet_address,
+            options.receive_buffer_bytes,
+        )
         self._wake_reader, self._wake_writer = os.pipe()
-        os.set_blocking(self._wake_reader, False)
-        os.set_blocking(self._wake_writer, False)
-        os.set_blocking(STANDARD_OUTPUT, False)
-        self._follower = Follower(source, options.follow, steady_ms, self._wake)
+        for descriptor in (self._wake_reader, self._wake_writer, STANDARD_OUTPUT):
+            os.set_blocking(descriptor, False)
+        self._follower = Follower(
+            options.me,
+            source,
+            options.inner_port,
+            SourceChoice(options.me, options.sources),
+            options.follow,
+            steady_ms,
+            self._wake,
+        )
         self._follower.start()
         self._phase = Phase.STARTING
         self._stop_at_ms: float | None = None
         self._reload_asked = False
-        self._source_error: str | None = None
+        self._lost_hosts: dict[str, str] = {}
+        self._read_from = ''
         self._meters = Meters()
-        self._log = DecisionLog(options.instance, options.log, time.time)
+        self._log = DecisionLog(options.me.instance, options.log, time.time)
         self._forwarder = Forwarder(
-            options.domain,
+            options.me.domain,
             packet_format,
             options.packet_address[1],
             options.forwarding,
@@ -97,23 +112,27 @@
             self._meters,
         )
         self._picture = Picture(self._forwarder, decoder, self._log, self._meters)
-        self._health = HttpServer(
-            options.health_address,
-            {options.health_path: self._answer_health_check},
-        )
         self._poller = select.epoll()
+        self._endpoints: Endpoints | None = None
+
+    def run(self, read_endpoint_options: 'Callable[[], EndpointOptions]') -> None:
+        """
+        Forward until asked to stop.
 
-    def run(self) -> None:
-        """Forward until asked to stop."""
+        Parameters
+        ----------
+        read_endpoint_options
+            Called after the first packets were forwarded.
+        """
         signal.signal(signal.SIGTERM, self._ask_to_stop)
         signal.signal(signal.SIGHUP, self._ask_to_reload)
         self._log.write('process_started', steady_ms(), phase=self._phase.value)
-        for descriptor in (self._wake_reader, self._health.listener):
-            self._poller.register(descriptor, select.EPOLLIN)
+        self._poller.register(self._wake_reader, select.EPOLLIN)
+        self._turn()
+        self._open_endpoints(read_endpoint_options())
         tick_at_ms = 0.0
         while not self._is_stopped(steady_ms()):
-            for descriptor, _ in self._poller.poll(self._options.tick_ms / MS_PER_S):
-                self._serve(descriptor)
+            self._turn()
             now_ms = steady_ms()
             if now_ms >= tick_at_ms:
                 tick_at_ms = now_ms + self._options.tick_ms
@@ -121,27 +140,30 @@
         self._log.write('process_stopped', steady_ms())
         self._log.flush()
 
-    def _open_packet_socket(self) -> socket.socket:
-        packets = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        size = self._options.receive_buffer_bytes
-        packets.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
-        packets.bind(self._options.packet_address)
-        packets.setblocking(False)
-        return packets
-
-    def _serve(self, descriptor: int) -> None:
-        if descriptor == self._packets.fileno():
-            self._forward()
-        elif descriptor == self._wake_reader:
-            os.read(self._wake_reader, WAKE_BYTES)
-            self._take_readings()
-        elif descriptor == self._health.listener:
-            accepted = self._health.accept()
-            if accepted is not None:
-                self._poller.register(accepted, select.EPOLLIN)
-        elif self._health.owns(descriptor):
-            # A closed descriptor leaves the poller by itself.
-            self._health.serve(descriptor)
+    def _open_endpoints(self, options: 'EndpointOptions') -> None:
+        # Loading these modules takes longer than a restart may cost.
+        from cardamomtiller.forwarding.endpoints import Endpoints
+
+        self._endpoints = Endpoints(
+            options,
+            self._answer_health_check,
+            self._picture,
+            self._log,
+            self._meters,
+            self._poller,
+            steady_ms(),
+        )
+
+    def _turn(self) -> None:
+        """Wait for input, at the longest until the next tick, and serve it."""
+        for descriptor, _ in self._poller.poll(self._options.tick_ms / MS_PER_S):
+            if descriptor == self._packets.fileno():
+                self._forward()
+            elif descriptor == self._wake_reader:
+                os.read(self._wake_reader, WAKE_BYTES)
+                self._take_readings()
+            elif self._endpoints is not None:
+                self._endpoints.serve(descriptor, steady_ms())
 
     def _forward(self) -> None:
         now_ms = steady_ms()
@@ -164,26 +186,62 @@
             except BlockingIOError:
                 return
             except OSError as error:
-                # A refused send of before is reported on the next receive.
+                # The system reports on this call that nobody listens at the address
+                # of an earlier send.
                 self._meters.count('receives_failed')
                 self._log.write('receive_failed', steady_ms(), error=str(error))
 
     def _take_readings(self) -> None:
+        before = self._picture.revision
         while (reading := self._follower.take()) is not None:
             self._take_reading(reading, steady_ms())
+        if self._endpoints is not None and self._picture.revision != before:
+            self._endpoints.answer_waiting(steady_ms())
 
     def _take_reading(self, reading: Reading, now_ms: float) -> None:
-        if reading.error != self._source_error:
-            event = 'source_lost' if reading.error else 'source_regained'
-            self._log.write(event, now_ms, error=reading.error or self._source_error)
-            self._source_error = reading.error
+        self._log_reading(reading, now_ms)
+        self._meters.gauge('source_calls', self._follower.source_calls)
+        self._meters.gauge('peer_calls', self._follower.peer_calls)
         if reading.batch is None:
-            self._meters.count('source_errors')
+            self._meters.count('readings_failed')
             return
-        self._picture.apply(reading.batch, reading.asked_ms, now_ms)
+        if not self._picture.apply(reading.batch, reading.confirmed_ms, now_ms):
+            self._meters.count('readings_outdated')
         if self._phase is Phase.STARTING and self._picture.is_complete:
             self._start_serving(now_ms)
 
+    def _log_reading(self, reading: Reading, now_ms: float) -> None:
+        """Log when a source is lost or regained, or another one is read."""
+        error = self._lost_hosts.get(reading.host)
+        if reading.error is not None:
+            if error is None:
+                self._log_source('source_lost', reading, now_ms, reading.error)
+            self._lost_hosts[reading.host] = reading.error
+            return
+        if error is not None:
+            del self._lost_hosts[reading.host]
+            self._log_source('source_regained', reading, now_ms, error)
+        if reading.host != self._read_from:
+            self._read_from = reading.host
+            self._log_source('source_chosen', reading, now_ms, None)
+
+    def _log_source(
+        self,
+        event: str,
+        reading: Reading,
+        now_ms: float,
+        error: str | None,
+    ) -> None:
+        self._log.write(
+            event,
+            now_ms,
+            host=reading.host,
+            is_published_source=reading.is_from_source,
+            error=error,
+            revision=self._picture.revision,
+            picture_age_ms=round(self._picture.age_ms(now_ms)),
+        )
+
     def _start_serving(self, now_ms: float) -> None:
         self._phase = Phase.SERVING
         self._poller.register(self._packets.fileno(), select.EPOLLIN)
@@ -191,17 +249,23 @@
             'serving',
             now_ms,
             configuration=self._forwarder.configuration.version,
-            processor_ms=round(time.process_time() * MS_PER_S),
+            revision=self._picture.revision,
         )
 
     def _tick(self, now_ms: float) -> None:
         self._forwarder.sweep(now_ms)
+        if self._endpoints is not None:
+            self._follower.peers = self._endpoints.tick(now_ms)
         if self._reload_asked:
             self._reload_asked = False
             self._log.write('reload_asked', now_ms)
+        self._meters.gauge('picture_age_ms', self._picture.age_ms(now_ms))
+        self._meters.gauge('log_lines_suppressed', self._log.suppressed)
         self._log.flush()
 
-    def _answer_health_check(self) -> Reply:
+    def _answer_health_check(self, _request: 'Request', _now_ms: float) -> 'Reply':
+        from cardamomtiller.forwarding.httpserver import Reply
+
         if self._phase is Phase.SERVING:
             return Reply(200, 'text/plain', b'serving\n')
         return Reply(503, 'text/plain', f'{self._phase.value}\n'.encode())
@@ -216,6 +280,8 @@
         now_ms = steady_ms()
         self._stop_at_ms = now_ms + self._options.stop_ms
         self._log.write('stop_asked', now_ms, stop_ms=self._options.stop_ms)
+        if self._endpoints is not None:
+            self._endpoints.leave(now_ms)
 
     def _ask_to_reload(self, _signal: int, _frame: FrameType | None) -> None:
         self._reload_asked = True
--- a/src/cardamomtiller/forwarding/picture.py
+++ b/src/cardamomtiller/forwarding/picture.py
@@ -1,5 +1,8 @@
 """The picture of the world that an instance acts on, and how old it is."""
 
+from collections import deque
+from collections.abc import Iterator
+
 from cardamomtiller.forwarding.configuration import Configuration
 from cardamomtiller.forwarding.decisionlog import DecisionLog
 from cardamomtiller.forwarding.forwarder import Forwarder
@@ -15,12 +18,15 @@
     Revision,
 )
 from cardamomtiller.forwarding.upstreams import UpstreamEntry
-from cardamomtiller.ids import UpstreamId
+
+# Removals that are remembered for peers; one that is further behind gets the
+# complete list.
+REMOVALS_KEPT = 1000
 
 
 class Picture:
     """
-    Applies batches of records to the forwarder, each record once and in order.
+    All records up to a revision; applies each to the forwarder, once and in order.
 
     Attributes
     ----------
@@ -42,7 +48,10 @@
         self._decoder = decoder
         self._log = log
         self._meters = meters
-        self._revisions: dict[RecordKey, Revision] = {}
+        self._records: dict[RecordKey, Record] = {}
+        self._removals: deque[Record] = deque()
+        # Removals up to this revision are not remembered.
+        self._horizon = NO_REVISION
         self.revision = NO_REVISION
         self.confirmed_ms: float | None = None
 
@@ -53,6 +62,10 @@
             self._forwarder.configuration.routes,
         )
 
+    def age_ms(self, now_ms: float) -> float:
+        """Return how long ago the source confirmed the picture."""
+        return now_ms if self.confirmed_ms is None else now_ms - self.confirmed_ms
+
     def apply(self, batch: Batch, confirmed_ms: float, now_ms: float) -> bool:
         """
         Apply a batch.
@@ -62,47 +75,87 @@
         batch
             A complete list, or changes.
         confirmed_ms
-            When the source was asked for the batch.
+            When the source confirmed the batch.
         now_ms
             Present time.
 
         Returns
         -------
         bool
-            False if changes are missing between the picture and the batch.
+            Whether the batch continues the picture; False if it is older than the
+            picture, or if changes between the two are missing.
         """
-        if batch.after is not None and batch.after > self.revision:
+        if batch.revision < self.revision:
             return False
         if batch.after is None:
             self._apply_complete_list(batch, now_ms)
-        for record in batch.records:
-            self._apply_record(record, now_ms)
-        self.revision = max(self.revision, batch.revision)
+        elif batch.after > self.revision:
+            return False
+        else:
+            self._apply_changes(batch, now_ms)
+        self.revision = batch.revision
         if self.confirmed_ms is None or confirmed_ms > self.confirmed_ms:
             self.confirmed_ms = confirmed_ms
         return True
 
+    def changes_after(self, after: Revision) -> Batch:
+        """Return what a peer lacks that knows everything up to a revision."""
+        if after < self._horizon or after == NO_REVISION:
+            return Batch(None, self.revision, tuple(self._records.values()))
+        newer = (
+            record
+            for record in (*self._records.values(), *self._removals)
+            if record.revision > after
+        )
+        in_order = sorted(newer, key=lambda record: record.revision)
+        return Batch(after, self.revision, tuple(in_order))
+
     def _apply_complete_list(self, batch: Batch, now_ms: float) -> None:
-        if batch.revision < self.revision:
-            return
-        listed = {record.key for record in batch.records}
-        for key in tuple(self._revisions):
-            if key not in listed and self._revisions[key] <= batch.revision:
-                self._apply_record(Record(key, batch.revision, None), now_ms)
+        if self.revision == NO_REVISION:
+            self._horizon = batch.revision
+        for record in batch.records:
+            self._apply_record(record, now_ms)
+        for key in tuple(self._unlisted(batch)):
+            self._remove(Record(key, batch.revision, None), now_ms)
         self._log.write(
             'records_listed',
             now_ms,
             records=len(batch.records),
             revision=batch.revision,
+            before=self.revision,
         )
 
+    def _unlisted(self, batch: Batch) -> Iterator[RecordKey]:
+        listed = {record.key for record in batch.records}
+        for key, record in self._records.items():
+            if key not in listed and record.revision <= batch.revision:
+                yield key
+
+    def _apply_changes(self, batch: Batch, now_ms: float) -> None:
+        for record in batch.records:
+            # What is not newer is part of the picture already, or was removed since.
+            if record.revision > self.revision:
+                self._apply_record(record, now_ms)
+
     def _apply_record(self, record: Record, now_ms: float) -> None:
-        if record.revision <= self._revisions.get(record.key, NO_REVISION):
+        known = self._records.get(record.key)
+        if known is not None and record.revision <= known.revision:
             return
-        self._revisions[record.key] = record.revision
         if record.content is None:
-            # The removal counts as known until the list no longer has the key.
-            del self._revisions[record.key]
+            self._remove(record, now_ms)
+            return
+        self._records[record.key] = record
+        self._put(record, now_ms)
+
+    def _remove(self, record: Record, now_ms: float) -> None:
+        if self._records.pop(record.key, None) is None:
+            return
+        self._removals.append(record)
+        if len(self._removals) > REMOVALS_KEPT:
+            self._horizon = self._removals.popleft().revision
+        self._put(record, now_ms)
+
+    def _put(self, record: Record, now_ms: float) -> None:
         change = self._decoder.decode(record)
         if isinstance(change, Configuration):
             self._forwarder.take_configuration(change, now_ms)
@@ -128,4 +181,4 @@
             reason=change.reason,
         )
         if change.upstream is not None:
-            self._forwarder.lose_entry(UpstreamId(change.upstream), now_ms)
+            self._forwarder.lose_entry(change.upstream, now_ms)
--- /dev/null
+++ b/src/cardamomtiller/forwarding/sources.py
@@ -0,0 +1,74 @@
+"""Which source an instance reads its records from.
+
+The load this answers: calls to the published source, which are limited and priced
+and which grow with the fleet if every instance waits for changes there. In each
+failure domain one instance reads the source, and the others read from it. An
+instance whose reader is silent or stale goes to the next one, and in the end to the
+source itself, so a fault of a reader costs less time than a change may take.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from cardamomtiller.forwarding.member import Member, rank
+
+
+# Members of a failure domain that read for the others, one after the other fails.
+CANDIDATES = 3
+
+
+class SourceOptions(NamedTuple):
+    """
+    Times of the choice.
+
+    Attributes
+    ----------
+    stale_ms
+        Age beyond which a peer's picture is not good enough.
+    avoided_ms
+        How long a source that failed is not asked again if there is another.
+    """
+
+    stale_ms: float
+    avoided_ms: float
+
+
+class SourceChoice:
+    """Remembers which sources failed, and names the next one to ask."""
+
+    def __init__(self, me: Member, options: SourceOptions) -> None:
+        """Start with no failures."""
+        self._me = me
+        self._options = options
+        self._avoided_until_ms: dict[str, float] = {}
+
+    def fail(self, host: str, now_ms: float) -> None:
+        """Take note that a source failed or was stale."""
+        self._avoided_until_ms[host] = now_ms + self._options.avoided_ms
+
+    def is_stale(self, age_ms: float) -> bool:
+        """Return whether a picture of an age is too old to rely on."""
+        return age_ms > self._options.stale_ms
+
+    def choose(self, peers: Iterable[Member], now_ms: float) -> Member:
+        """
+        Return the member to read from.
+
+        Parameters
+        ----------
+        peers
+            Other members of the failure domain.
+        now_ms
+            Present time.
+
+        Returns
+        -------
+        Member
+            The first member by rank that has not failed lately. This instance
+            itself stands for the published source; it is also the last resort.
+        """
+        ranked = rank([self._me, *peers])
+        for member in ranked[:CANDIDATES]:
+            if self._avoided_until_ms.get(member.host, now_ms) <= now_ms:
+                return member
+        return self._me
--- a/src/cardamomtiller/forwarding/upstreams.py
+++ b/src/cardamomtiller/forwarding/upstreams.py
@@ -120,14 +120,6 @@
             self._rebuild()
         return upstream
 
-    def keep_only(self, present: set[UpstreamId], now_ms: float) -> None:
-        """Record that all entries but those of ``present`` have disappeared."""
-        for upstream_id, upstream in self._by_id.items():
-            is_listed = upstream.state in {UpstreamState.READY, UpstreamState.DRAINING}
-            if is_listed and upstream_id not in present:
-                upstream.lose(now_ms)
-        self._rebuild()
-
     def expire(self, now_ms: float) -> list[Upstream]:
         """Age missing and departed upstreams; return those that are now gone."""
         missed: list[Upstream] = []
