Reset flows of upstreams that are certainly gone, and share load between instances

Silence now raises a suspicion, a TCP connection decides, and packets of such flows are answered by a reset; so are tokens that the source has not known for 2.5 s.

Instances report their mean load; reports of others weigh a tenth of own counts.

--- a/src/cardamomtiller/forwarding/endpoints.py
+++ b/src/cardamomtiller/forwarding/endpoints.py
@@ -9,6 +9,7 @@
 from cardamomtiller.forwarding.decisionlog import DecisionLog
 from cardamomtiller.forwarding.exchange import Exchange, ExchangeOptions
 from cardamomtiller.forwarding.httpserver import Handler, HttpServer
+from cardamomtiller.forwarding.load import LoadBook
 from cardamomtiller.forwarding.member import Member
 from cardamomtiller.forwarding.meters import Meters
 from cardamomtiller.forwarding.metricspage import MetricsPage
@@ -36,6 +37,7 @@
         options: EndpointOptions,
         answer_health_check: Handler,
         picture: Picture,
+        loads: LoadBook,
         log: DecisionLog,
         meters: Meters,
         poller: select.epoll,
@@ -43,7 +45,14 @@
     ) -> None:
         """Listen on all addresses."""
         self._poller = poller
-        self._exchange = Exchange(options.exchange, picture, log, meters, now_ms)
+        self._exchange = Exchange(
+            options.exchange,
+            picture,
+            loads,
+            log,
+            meters,
+            now_ms,
+        )
         inner_address = (options.exchange.me.host, options.exchange.inner_port)
         most = options.max_connections
         self._servers = (
@@ -89,6 +98,7 @@
     def tick(self, now_ms: float) -> tuple[Member, ...]:
         """Announce this instance if it is time; return the known peers."""
         self._exchange.announce(now_ms)
+        self._exchange.share_load(now_ms)
         self.answer_waiting(now_ms)
         return self._exchange.table.peers()
 
--- a/src/cardamomtiller/forwarding/exchange.py
+++ b/src/cardamomtiller/forwarding/exchange.py
@@ -1,4 +1,4 @@
-"""Announcements to other instances and the picture that they may read."""
+"""Announcements and load reports to other instances, and the picture they read."""
 
 import socket
 from typing import NamedTuple
@@ -12,6 +12,16 @@
     encode_announcement,
 )
 from cardamomtiller.forwarding.httpserver import Reply, Request
+from cardamomtiller.forwarding.load import LoadBook
+from cardamomtiller.forwarding.loadsharing import (
+    LoadReport,
+    LoadSharing,
+    ReportError,
+    SharingOptions,
+    decode_report,
+    encode_report,
+    is_report,
+)
 from cardamomtiller.forwarding.member import Member
 from cardamomtiller.forwarding.meters import Meters
 from cardamomtiller.forwarding.peersource import PeerReply, encode_reply
@@ -33,6 +43,7 @@
     inner_port: int
     seeds: tuple[str, ...]
     fleet: FleetOptions
+    sharing: SharingOptions
 
 
 class Exchange:
@@ -42,6 +53,7 @@
         self,
         options: ExchangeOptions,
         picture: Picture,
+        loads: LoadBook,
         log: DecisionLog,
         meters: Meters,
         now_ms: float,
@@ -54,6 +66,7 @@
         self._started_ms = now_ms
         self._announce_at_ms = now_ms
         self.table = MemberTable(options.me, options.fleet)
+        self._sharing = LoadSharing(options.me, loads, options.sharing)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((options.me.host, options.inner_port))
         self._socket.setblocking(False)
@@ -74,7 +87,10 @@
                 # The address of an earlier announcement has nobody behind it.
                 self._meters.count('announcements_unreachable')
                 continue
-            self._take(datagram, address[0], now_ms)
+            if is_report(datagram):
+                self._take_report(datagram, address[0], now_ms)
+            else:
+                self._take(datagram, address[0], now_ms)
 
     def announce(self, now_ms: float) -> None:
         """Send an announcement if it is time."""
@@ -87,6 +103,12 @@
         for host, domain in self.table.receivers(self._options.seeds):
             self._send(host, domain, now_ms, is_reply_wanted=is_alone)
 
+    def share_load(self, now_ms: float) -> None:
+        """Update the load of the other instances and send the reports that are due."""
+        self._sharing.measure(now_ms)
+        for member, report in self._sharing.due_reports(self.table.members(), now_ms):
+            self._send_report(member.host, report)
+
     def leave(self, now_ms: float) -> None:
         """Tell the failure domain that this instance is about to stop."""
         for peer in self.table.peers():
@@ -131,6 +153,31 @@
         if announcement.is_reply_wanted:
             self._send(sender.host, sender.domain, now_ms)
 
+    def _take_report(self, datagram: bytes, host: str, now_ms: float) -> None:
+        sender = self.table.find(host)
+        if sender is None:
+            self._meters.count('load_reports_of_strangers')
+            return
+        try:
+            report = decode_report(datagram)
+        except ReportError as error:
+            self._meters.count('load_reports_malformed')
+            self._log.write('load_report_malformed', now_ms, host=host, error=str(error))
+            return
+        answer = self._sharing.take(sender, report, now_ms)
+        if answer is not None:
+            self._send_report(host, answer)
+
+    def _send_report(self, host: str, report: LoadReport) -> None:
+        datagram = encode_report(report)
+        try:
+            self._socket.sendto(datagram, (host, self._options.inner_port))
+        except OSError:
+            self._meters.count('load_reports_unsent')
+            return
+        self._meters.count('load_reports_sent')
+        self._meters.count('load_report_bytes', len(datagram))
+
     def _send(
         self,
         host: str,
--- a/src/cardamomtiller/forwarding/fleet.py
+++ b/src/cardamomtiller/forwarding/fleet.py
@@ -12,7 +12,7 @@
 
 import ujson
 
-from cardamomtiller.forwarding.member import Member
+from cardamomtiller.forwarding.member import Member, rank
 from cardamomtiller.ids import DomainName, InstanceId
 
 ItemT = TypeVar('ItemT')
@@ -132,6 +132,14 @@
         """Return the number of other members."""
         return len(self._members)
 
+    def members(self) -> tuple[Member, ...]:
+        """Return all other members that are known."""
+        return tuple(self._members.values())
+
+    def find(self, host: str) -> Member | None:
+        """Return the member with an address."""
+        return self._members.get(host)
+
     def peers(self) -> tuple[Member, ...]:
         """Return the other members of the own failure domain."""
         members = tuple(self._members.values())
@@ -170,13 +178,14 @@
     ) -> Announcement:
         """Return an announcement for a receiver in a failure domain."""
         known = [one for one in self._members.values() if one.domain == domain]
+        told = [*self._in_turn(known, self._options.passed_on), *self._firsts(domain)]
         return Announcement(
             self.me,
             is_reply_wanted,
             is_leaving,
             tuple(
                 Sighting(member, now_ms - self._heard_ms[member.host])
-                for member in self._in_turn(known, self._options.passed_on)
+                for member in told
             ),
         )
 
@@ -195,6 +204,15 @@
             return self._options.new_interval_ms
         return self._options.interval_ms
 
+    def _firsts(self, domain: DomainName) -> Iterator[Member]:
+        """Iterate over the first member of each other failure domain."""
+        by_domain: dict[DomainName, list[Member]] = {}
+        for member in self._members.values():
+            if member.domain != domain:
+                by_domain.setdefault(member.domain, []).append(member)
+        for members in by_domain.values():
+            yield rank(members)[0]
+
     def _in_turn(self, items: Sequence[ItemT], count: int) -> Iterator[ItemT]:
         """Iterate over some items, others each turn, so that all have theirs."""
         if not items:
--- a/src/cardamomtiller/forwarding/forwarder.py
+++ b/src/cardamomtiller/forwarding/forwarder.py
@@ -22,6 +22,8 @@
     flow_text,
 )
 from cardamomtiller.forwarding.placement import Choice, choose
+from cardamomtiller.forwarding.reachability import Change, Reachability, Verdict
+from cardamomtiller.forwarding.unknowntokens import UnknownTokens
 from cardamomtiller.forwarding.upstreams import (
     SocketAddress,
     Upstream,
@@ -79,6 +81,10 @@
             options.departed_kept_ms,
         )
         self.loads = LoadBook()
+        self.reachability = Reachability(options.reachability)
+        self._unknown = UnknownTokens(options.unknown_ms)
+        # How long the source has confirmed the picture without a gap.
+        self.steady_for_ms = 0.0
 
     def take_configuration(self, configuration: Configuration, now_ms: float) -> None:
         """Put a configuration in force; an older version than before is ignored."""
@@ -139,13 +145,19 @@
 
     def sweep(self, now_ms: float) -> None:
         """Age out flows, requests that got lost, and departed upstreams."""
+        self._unknown.expire(now_ms)
+        for token, load in self.loads:
+            if load.others_trouble >= self._options.suspicious_trouble:
+                upstream_in_trouble = self.directory.by_token(token)
+                if upstream_in_trouble is not None:
+                    self._suspect(upstream_in_trouble, now_ms)
         for idle in self._flows.take_idle(now_ms):
-            self.loads.detach(idle)
+            self.loads.detach(idle, now_ms)
         for stalled in tuple(self._flows.stalled(now_ms)):
-            self.loads.finish(stalled)
+            self.loads.finish(stalled, now_ms)
         for upstream in self.directory.expire(now_ms):
             self._log_upstream(upstream, now_ms, 'entry_expired')
-        self.loads.keep_only({one.entry.upstream for one in self.directory})
+        self.loads.keep_only({one.token for one in self.directory})
         self._meters.gauge('flows', len(self._flows))
 
     def _open(
@@ -175,6 +187,7 @@
         return choose(
             self.directory.pool(route.service_of(hashed)),
             self.loads,
+            self.reachability,
             self._domain,
             self._options.placement,
             hashed,
@@ -187,24 +200,25 @@
         flow = self._flows.find(packet.flow)
         if flow is None or not packet.copy:
             return None
-        self.loads.of(flow.upstream).miss_open(now_ms)
+        self.loads.of(flow.upstream.token).miss_open(now_ms)
+        self._suspect(flow.upstream, now_ms)
         self._meters.count('opens_repeated')
         return flow.upstream.entry.upstream
 
     def _track_opening(self, key: FlowKey, upstream: Upstream, now_ms: float) -> None:
         before = self._flows.remove(key)
         if before is not None:
-            self.loads.detach(before)
+            self.loads.detach(before, now_ms)
         flow = Flow(key, upstream, now_ms)
-        self._add_flow(flow)
+        self._add_flow(flow, now_ms)
         # The request follows its opening within a round trip.
         self.loads.start(flow, now_ms)
 
-    def _add_flow(self, flow: Flow) -> None:
+    def _add_flow(self, flow: Flow, now_ms: float) -> None:
         self.loads.attach(flow)
         displaced = self._flows.add(flow)
         if displaced is not None:
-            self.loads.detach(displaced)
+            self.loads.detach(displaced, now_ms)
 
     def _refuse_unrouted(self, packet: Packet, now_ms: float) -> Iterator[Delivery]:
         if self.configuration is NO_CONFIGURATION:
@@ -225,42 +239,82 @@
     ) -> Iterator[Delivery]:
         upstream = self.directory.by_token(packet.token)
         if upstream is None:
-            self._drop(DropReason.UNKNOWN_TOKEN, packet, now_ms)
+            yield from self._refuse_unknown(packet, now_ms)
             return
         self._observe(packet, upstream, now_ms)
+        if packet.payload_bytes and self._is_unreachable(upstream):
+            self._log_reset(packet, upstream, 'unreachable', now_ms)
+            yield self._reset(packet)
+            return
         self._meters.count('packets_forwarded')
         yield _to_upstream(upstream, datagram)
 
+    def _refuse_unknown(self, packet: Packet, now_ms: float) -> Iterator[Delivery]:
+        """Drop a packet whose upstream is unknown, or reset its flow if it is gone."""
+        self._drop(DropReason.UNKNOWN_TOKEN, packet, now_ms)
+        if packet.is_reset or not packet.payload_bytes:
+            return
+        if self._unknown.is_gone(packet.token, self.steady_for_ms, now_ms):
+            self._log_reset(packet, None, 'upstream_gone', now_ms)
+            yield self._reset(packet)
+
     def _observe(self, packet: Packet, upstream: Upstream, now_ms: float) -> None:
         flow = self._flows.find(packet.flow)
         if flow is None or flow.upstream is not upstream:
             if flow is not None:
-                self.loads.detach(flow)
+                self.loads.detach(flow, now_ms)
             if packet.is_closing or packet.is_reset:
                 return
             flow = Flow(packet.flow, upstream, now_ms)
-            self._add_flow(flow)
+            self._add_flow(flow, now_ms)
         was_opened = flow.is_opened
         observation = flow.observe(packet, now_ms)
         if not was_opened and flow.is_opened:
-            self.loads.of(upstream).hear(now_ms)
+            self._hear(upstream, now_ms)
         self._account(flow, observation, now_ms)
 
     def _account(self, flow: Flow, observation: Observation, now_ms: float) -> None:
         if observation is Observation.REQUEST:
-            self.loads.answer(flow, now_ms)
             self.loads.start(flow, now_ms)
         elif observation is Observation.ANSWER:
+            self._hear(flow.upstream, now_ms)
             elapsed_ms = self.loads.answer(flow, now_ms)
             if elapsed_ms is not None:
                 self._meters.observe('request_ms', elapsed_ms)
         elif observation is Observation.RETRANSMISSION:
             self._meters.count('retransmissions')
-            if flow.retransmissions == 1:
-                self.loads.of(flow.upstream).miss_answer(now_ms)
+            self._note_retransmission(flow, now_ms)
         elif observation is Observation.END:
             self._flows.remove(flow.key)
-            self.loads.detach(flow)
+            self.loads.detach(flow, now_ms)
+
+    def _note_retransmission(self, flow: Flow, now_ms: float) -> None:
+        load = self.loads.of(flow.upstream.token)
+        if flow.retransmissions == 1:
+            load.miss_answer(now_ms)
+        elif flow.retransmissions == 2:
+            load.add_trouble(now_ms)
+        heard_ms = load.heard_ms
+        if heard_ms is None or now_ms - heard_ms > self._options.silent_ms:
+            self._suspect(flow.upstream, now_ms)
+
+    def _suspect(self, upstream: Upstream, now_ms: float) -> None:
+        if self.directory.is_superseded(upstream):
+            reason = 'address_reused'
+            change = self.reachability.give_up(upstream.token, reason, now_ms)
+            if change is not None:
+                self.log_reachability(change, now_ms)
+        elif self.reachability.suspect(upstream.token, now_ms):
+            self._meters.count('upstreams_suspected')
+
+    def _hear(self, upstream: Upstream, now_ms: float) -> None:
+        self.loads.of(upstream.token).hear(now_ms)
+        change = self.reachability.hear(upstream.token, now_ms)
+        if change is not None:
+            self.log_reachability(change, now_ms)
+
+    def _is_unreachable(self, upstream: Upstream) -> bool:
+        return self.reachability.verdict(upstream.token) is Verdict.UNREACHABLE
 
     def _drop(self, reason: DropReason, packet: Packet | None, now_ms: float) -> None:
         self._meters.count(f'dropped_{reason.value}')
@@ -293,12 +347,45 @@
             domain=entry.domain,
             cost=round(choice.cost, 3),
             in_progress=choice.in_progress,
+            others_busy=round(choice.others_busy, 2),
             open_flows=choice.open_flows,
             candidates=choice.candidates,
             entry_age_ms=round(now_ms - choice.upstream.changed_ms),
             configuration=self.configuration.version,
         )
 
+    def _log_reset(
+        self,
+        packet: Packet,
+        upstream: Upstream | None,
+        reason: str,
+        now_ms: float,
+    ) -> None:
+        self._meters.count('flows_reset')
+        self._log.write(
+            'flow_reset',
+            now_ms,
+            flow=flow_text(packet.flow),
+            upstream=upstream.entry.upstream if upstream else None,
+            token=packet.token,
+            reason=reason,
+            state=upstream.state.value if upstream else None,
+            entry_age_ms=round(now_ms - upstream.changed_ms) if upstream else None,
+            picture_steady_ms=round(self.steady_for_ms),
+        )
+
+    def log_reachability(self, change: Change, now_ms: float) -> None:
+        """Log that an upstream became reachable or unreachable."""
+        upstream = self.directory.by_token(change.token)
+        self._meters.count(f'upstreams_{change.verdict.value}')
+        self._log.write(
+            f'upstream_{change.verdict.value}',
+            now_ms,
+            upstream=upstream.entry.upstream if upstream else None,
+            reason=change.reason,
+            after_ms=round(change.suspected_for_ms),
+        )
+
     def _log_upstream(self, upstream: Upstream, now_ms: float, event: str) -> None:
         entry = upstream.entry
         self._meters.count(f'upstreams_{event}')
--- a/src/cardamomtiller/forwarding/load.py
+++ b/src/cardamomtiller/forwarding/load.py
@@ -1,11 +1,14 @@
 """Load and silence of each upstream, estimated from the flows of this instance."""
 
+from collections.abc import Iterator
+from math import exp
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.flows import Flow
-from cardamomtiller.forwarding.upstreams import Upstream
-from cardamomtiller.ids import UpstreamId
+from cardamomtiller.forwarding.packet import Token
 
+# Time in which the weight of an unanswered request falls to a third.
+TROUBLE_DECAY_MS = 3000.0
 # Weight of the newest service time in the running mean.
 SERVICE_TIME_GAIN = 0.1
 
@@ -29,12 +32,30 @@
 
 
 class UpstreamLoad:
-    """Estimates for one upstream."""
+    """
+    Estimates for one upstream.
+
+    Attributes
+    ----------
+    in_progress, open_flows
+        Requests and flows that this instance has there.
+    others_busy, others_trouble
+        Mean number of requests, and the trouble, of the other instances, as they
+        report.
+    """
 
     __slots__ = (
+        '_busy_since_ms',
+        '_busy_total_ms',
+        '_measured_ms',
+        '_trouble',
+        '_trouble_ms',
         'heard_ms',
         'in_progress',
+        'mean_busy',
         'open_flows',
+        'others_busy',
+        'others_trouble',
         'service_ms',
         'silent_flows',
         'silent_opens',
@@ -46,12 +67,50 @@
         """Start with no flows and no history."""
         self.in_progress = 0
         self.open_flows = 0
+        self.mean_busy = 0.0
+        self.others_busy = 0.0
+        self.others_trouble = 0.0
         self.heard_ms: float | None = None
         self.service_ms: float | None = None
         self.silent_opens = 0
         self.silent_flows = 0
         self.silent_since_ms: float | None = None
         self.tried_ms = 0.0
+        self._busy_total_ms = 0.0
+        self._busy_since_ms = 0.0
+        self._measured_ms: float | None = None
+        self._trouble = 0.0
+        self._trouble_ms = 0.0
+
+    def change_in_progress(self, difference: int, now_ms: float) -> None:
+        """Count requests that start or end."""
+        self._advance(now_ms)
+        self.in_progress = max(0, self.in_progress + difference)
+
+    def measure(self, now_ms: float, horizon_ms: float) -> None:
+        """Update the mean number of requests in progress since the last call."""
+        self._advance(now_ms)
+        since_ms = self._measured_ms
+        self._measured_ms = now_ms
+        total_ms, self._busy_total_ms = self._busy_total_ms, 0.0
+        if since_ms is None or now_ms <= since_ms:
+            return
+        elapsed_ms = now_ms - since_ms
+        gain = min(1.0, elapsed_ms / horizon_ms)
+        self.mean_busy += gain * (total_ms / elapsed_ms - self.mean_busy)
+
+    def _advance(self, now_ms: float) -> None:
+        self._busy_total_ms += self.in_progress * (now_ms - self._busy_since_ms)
+        self._busy_since_ms = now_ms
+
+    def add_trouble(self, now_ms: float) -> None:
+        """Record a request that the upstream has left unanswered for long."""
+        self._trouble = self.trouble(now_ms) + 1
+        self._trouble_ms = now_ms
+
+    def trouble(self, now_ms: float) -> float:
+        """Return the unanswered requests of the last seconds, older ones less."""
+        return self._trouble * exp((self._trouble_ms - now_ms) / TROUBLE_DECAY_MS)
 
     def hear(self, now_ms: float) -> None:
         """Record a sign of life."""
@@ -83,58 +142,60 @@
 
 
 class LoadBook:
-    """Estimates for all upstreams."""
+    """Estimates for all upstreams by token."""
 
     def __init__(self) -> None:
         """Start with no upstreams."""
-        self._loads: dict[UpstreamId, UpstreamLoad] = {}
+        self._loads: dict[Token, UpstreamLoad] = {}
+
+    def __iter__(self) -> Iterator[tuple[Token, UpstreamLoad]]:
+        """Iterate over all upstreams."""
+        return iter(tuple(self._loads.items()))
 
-    def of(self, upstream: Upstream) -> UpstreamLoad:
+    def of(self, token: Token) -> UpstreamLoad:
         """Return the estimates for an upstream."""
-        upstream_id = upstream.entry.upstream
-        load = self._loads.get(upstream_id)
+        load = self._loads.get(token)
         if load is None:
-            load = self._loads[upstream_id] = UpstreamLoad()
+            load = self._loads[token] = UpstreamLoad()
         return load
 
-    def keep_only(self, present: set[UpstreamId]) -> None:
+    def keep_only(self, present: set[Token]) -> None:
         """Forget upstreams that are no longer known."""
-        for upstream_id in self._loads.keys() - present:
-            del self._loads[upstream_id]
+        for token in self._loads.keys() - present:
+            del self._loads[token]
 
     def attach(self, flow: Flow) -> None:
         """Count a flow for its upstream."""
-        self.of(flow.upstream).open_flows += 1
+        self.of(flow.upstream.token).open_flows += 1
 
-    def detach(self, flow: Flow) -> None:
+    def detach(self, flow: Flow, now_ms: float) -> None:
         """Stop counting a flow and its request."""
-        self.finish(flow)
-        load = self.of(flow.upstream)
+        self.finish(flow, now_ms)
+        load = self.of(flow.upstream.token)
         load.open_flows = max(0, load.open_flows - 1)
 
     def start(self, flow: Flow, now_ms: float) -> None:
         """Count a request of a flow as in progress."""
         if flow.started_ms is None:
-            self.of(flow.upstream).in_progress += 1
+            self.of(flow.upstream.token).change_in_progress(1, now_ms)
         flow.started_ms = now_ms
         flow.requests += 1
 
-    def finish(self, flow: Flow) -> None:
+    def finish(self, flow: Flow, now_ms: float) -> None:
         """Stop counting the request of a flow."""
         if flow.started_ms is None:
             return
         flow.started_ms = None
-        load = self.of(flow.upstream)
-        load.in_progress = max(0, load.in_progress - 1)
+        self.of(flow.upstream.token).change_in_progress(-1, now_ms)
 
     def answer(self, flow: Flow, now_ms: float) -> float | None:
         """Record an answer; return how long the request took, if one was open."""
-        load = self.of(flow.upstream)
+        load = self.of(flow.upstream.token)
         load.hear(now_ms)
         started_ms = flow.started_ms
         if started_ms is None:
             return None
-        self.finish(flow)
+        self.finish(flow, now_ms)
         elapsed_ms = now_ms - started_ms
         mean_ms = load.service_ms
         if mean_ms is None:
--- a/src/cardamomtiller/forwarding/node.py
+++ b/src/cardamomtiller/forwarding/node.py
@@ -15,9 +15,11 @@
 from cardamomtiller.forwarding.member import Member
 from cardamomtiller.forwarding.meters import Meters
 from cardamomtiller.forwarding.options import ForwardingOptions
-from cardamomtiller.forwarding.packet import PacketFormat
+from cardamomtiller.forwarding.packet import PacketFormat, Token
 from cardamomtiller.forwarding.picture import Picture
+from cardamomtiller.forwarding.prober import Prober
 from cardamomtiller.forwarding.rawsocket import datagram_socket
+from cardamomtiller.forwarding.reachability import ProbeResult
 from cardamomtiller.forwarding.records import RecordDecoder, RecordSource
 from cardamomtiller.forwarding.sources import SourceChoice, SourceOptions
 from cardamomtiller.forwarding.upstreams import SocketAddress
@@ -114,6 +116,8 @@
         self._picture = Picture(self._forwarder, decoder, self._log, self._meters)
         self._poller = select.epoll()
         self._endpoints: Endpoints | None = None
+        probe_timeout_ms = options.forwarding.reachability.probe_timeout_ms
+        self._prober = Prober(self._poller, probe_timeout_ms)
 
     def run(self, read_endpoint_options: 'Callable[[], EndpointOptions]') -> None:
         """
@@ -148,6 +152,7 @@
             options,
             self._answer_health_check,
             self._picture,
+            self._forwarder.loads,
             self._log,
             self._meters,
             self._poller,
@@ -162,6 +167,8 @@
             elif descriptor == self._wake_reader:
                 os.read(self._wake_reader, WAKE_BYTES)
                 self._take_readings()
+            elif self._prober.owns(descriptor):
+                self._take_probe(*self._prober.finish(descriptor))
             elif self._endpoints is not None:
                 self._endpoints.serve(descriptor, steady_ms())
 
@@ -178,6 +185,8 @@
                     address=f'{delivery.address[0]}:{delivery.address[1]}',
                     error=str(error),
                 )
+        if self._forwarder.reachability.is_probe_due:
+            self._probe(now_ms)
 
     def _received(self) -> Iterator[bytes]:
         for _ in range(DATAGRAMS_PER_TURN):
@@ -191,6 +200,24 @@
                 self._meters.count('receives_failed')
                 self._log.write('receive_failed', steady_ms(), error=str(error))
 
+    def _probe(self, now_ms: float) -> None:
+        for token, result in self._prober.expire(now_ms):
+            self._take_probe(token, result)
+        for token in self._forwarder.reachability.due_probes(now_ms):
+            upstream = self._forwarder.directory.by_token(token)
+            if upstream is None:
+                continue
+            self._meters.count('probes')
+            result = self._prober.start(token, upstream.entry.address, now_ms)
+            if result is not None:
+                self._take_probe(token, result)
+
+    def _take_probe(self, token: Token, result: ProbeResult) -> None:
+        now_ms = steady_ms()
+        change = self._forwarder.reachability.take_probe(token, result, now_ms)
+        if change is not None:
+            self._forwarder.log_reachability(change, now_ms)
+
     def _take_readings(self) -> None:
         before = self._picture.revision
         while (reading := self._follower.take()) is not None:
@@ -253,7 +280,9 @@
         )
 
     def _tick(self, now_ms: float) -> None:
+        self._forwarder.steady_for_ms = self._picture.steady_for_ms(now_ms)
         self._forwarder.sweep(now_ms)
+        self._probe(now_ms)
         if self._endpoints is not None:
             self._follower.peers = self._endpoints.tick(now_ms)
         if self._reload_asked:
--- a/src/cardamomtiller/forwarding/options.py
+++ b/src/cardamomtiller/forwarding/options.py
@@ -6,6 +6,10 @@
 from cardamomtiller.forwarding.flows import FlowOptions
 from cardamomtiller.forwarding.load import SilenceOptions
 from cardamomtiller.forwarding.placement import PlacementOptions
+from cardamomtiller.forwarding.reachability import (
+    DEFAULT_REACHABILITY,
+    ReachabilityOptions,
+)
 
 
 class ForwardingOptions(NamedTuple):
@@ -18,17 +22,29 @@
         How long an upstream stays eligible after its entry has disappeared.
     departed_kept_ms
         How long a departed upstream still gets the packets of its flows.
+    silent_ms
+        Time without a sign of life after which a retransmission is a suspicion.
+    suspicious_trouble
+        Unanswered requests of other instances that are a suspicion.
+    unknown_ms
+        How long a token must be unknown before its upstream counts as gone.
     """
 
     placement: PlacementOptions
+    reachability: ReachabilityOptions
     flows: FlowOptions
     missing_kept_ms: float
     departed_kept_ms: float
+    silent_ms: float
+    suspicious_trouble: float
+    unknown_ms: float
 
 
 DEFAULT_SILENCE = SilenceOptions(opens=2, retransmissions=3, retry_ms=1000)
 DEFAULT_PLACEMENT = PlacementOptions(
     idle_flow=0.05,
+    others_busy=0.1,
+    trouble=0.1,
     remote=0.34,
     cold=0.7,
     missing=2.0,
@@ -38,8 +54,12 @@
 DEFAULT_FLOWS = FlowOptions(capacity=100_000, idle_ms=15_000, request_ms=600)
 DEFAULT_FORWARDING = ForwardingOptions(
     placement=DEFAULT_PLACEMENT,
+    reachability=DEFAULT_REACHABILITY,
     flows=DEFAULT_FLOWS,
     missing_kept_ms=2000,
     departed_kept_ms=60_000,
+    silent_ms=150,
+    suspicious_trouble=1.5,
+    unknown_ms=2500,
 )
 DEFAULT_LOG = LogOptions(lines_per_s=500, buffered_lines=4000)
--- a/src/cardamomtiller/forwarding/picture.py
+++ b/src/cardamomtiller/forwarding/picture.py
@@ -22,6 +22,8 @@
 # Removals that are remembered for peers; one that is further behind gets the
 # complete list.
 REMOVALS_KEPT = 1000
+# Entries may lapse while the source is away, and come back after its return.
+LONGEST_GAP_MS = 4000.0
 
 
 class Picture:
@@ -34,6 +36,8 @@
         Revision up to which the picture is complete.
     confirmed_ms
         Time at which the source last confirmed that nothing newer existed.
+    steady_since_ms
+        Since when the source has confirmed the picture without a long gap.
     """
 
     def __init__(
@@ -54,6 +58,7 @@
         self._horizon = NO_REVISION
         self.revision = NO_REVISION
         self.confirmed_ms: float | None = None
+        self.steady_since_ms: float | None = None
 
     @property
     def is_complete(self) -> bool:
@@ -94,10 +99,15 @@
         else:
             self._apply_changes(batch, now_ms)
         self.revision = batch.revision
-        if self.confirmed_ms is None or confirmed_ms > self.confirmed_ms:
-            self.confirmed_ms = confirmed_ms
+        self._confirm(confirmed_ms)
         return True
 
+    def steady_for_ms(self, now_ms: float) -> float:
+        """Return how long the source has confirmed the picture without a gap."""
+        if self.steady_since_ms is None or self.age_ms(now_ms) > LONGEST_GAP_MS:
+            return 0
+        return now_ms - self.steady_since_ms
+
     def changes_after(self, after: Revision) -> Batch:
         """Return what a peer lacks that knows everything up to a revision."""
         if after < self._horizon or after == NO_REVISION:
@@ -110,6 +120,13 @@
         in_order = sorted(newer, key=lambda record: record.revision)
         return Batch(after, self.revision, tuple(in_order))
 
+    def _confirm(self, confirmed_ms: float) -> None:
+        before_ms = self.confirmed_ms
+        if before_ms is None or confirmed_ms - before_ms > LONGEST_GAP_MS:
+            self.steady_since_ms = confirmed_ms
+        if before_ms is None or confirmed_ms > before_ms:
+            self.confirmed_ms = confirmed_ms
+
     def _apply_complete_list(self, batch: Batch, now_ms: float) -> None:
         if self.revision == NO_REVISION:
             self._horizon = batch.revision
--- a/src/cardamomtiller/forwarding/placement.py
+++ b/src/cardamomtiller/forwarding/placement.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.load import LoadBook, SilenceOptions, UpstreamLoad
+from cardamomtiller.forwarding.reachability import Reachability, Verdict
 from cardamomtiller.forwarding.upstreams import Upstream, UpstreamState
 from cardamomtiller.ids import DomainName, UpstreamId
 
@@ -18,12 +19,18 @@
 
 class PlacementOptions(NamedTuple):
     """
-    Costs in units of one busy slot of the upstream.
+    Weights of the choice, most of them as a share of the slots of an upstream.
 
     Attributes
     ----------
     idle_flow
-        Of an open flow with no request in progress.
+        Load of an open flow with no request in progress, in requests.
+    others_busy
+        Weight of a request of another instance. Reports are older than the own
+        counts; with the full weight, all instances would choose the same upstream
+        until the next reports.
+    trouble
+        Of a request that the upstream has lately left unanswered for long.
     remote
         Of an upstream in another failure domain.
     cold
@@ -31,10 +38,12 @@
     missing
         Of an upstream whose entry has just disappeared.
     silent
-        Of an upstream that does not answer.
+        Of an upstream that does not answer, or that cannot be reached.
     """
 
     idle_flow: float
+    others_busy: float
+    trouble: float
     remote: float
     cold: float
     missing: float
@@ -48,6 +57,7 @@
     upstream: Upstream
     cost: float
     in_progress: int
+    others_busy: float
     open_flows: int
     candidates: int
 
@@ -55,6 +65,7 @@
 def choose(
     pool: Iterable[Upstream],
     loads: LoadBook,
+    reachability: Reachability,
     domain: DomainName,
     options: PlacementOptions,
     hashed: int,
@@ -68,14 +79,14 @@
     ----------
     pool
         Upstreams that may get the flow.
-    loads
-        Estimated load.
+    loads, reachability
+        Estimated load, and what is known of the paths.
     domain
         Failure domain of this instance.
     options
-        Costs.
+        Weights.
     hashed
-        Hash of the flow, which orders upstreams of equal cost.
+        Hash of the flow, from which the draws follow.
     now_ms
         Present time.
     excluded
@@ -88,41 +99,46 @@
     """
     candidates = list(pool)
     others = [one for one in candidates if one.entry.upstream != excluded]
-    ranked = _rank(others or candidates, loads, domain, options, hashed, now_ms)
-    best = min(ranked, default=None, key=lambda row: row[:2])
-    if best is None:
+    ranked = [
+        Candidate(one, load, cost_of(one, load, reachability, domain, options, now_ms))
+        for one, load in _with_loads(others or candidates, loads)
+    ]
+    if not ranked:
         return None
-    cost, _, upstream, load = best
+    best = min(ranked, key=lambda one: (one.cost, _order(one, hashed)))
+    load = best.load
     load.tried_ms = now_ms
-    return Choice(upstream, cost, load.in_progress, load.open_flows, len(candidates))
+    return Choice(
+        best.upstream,
+        best.cost,
+        load.in_progress,
+        load.others_busy,
+        load.open_flows,
+        len(candidates),
+    )
 
 
-def _rank(
-    pool: Iterable[Upstream],
-    loads: LoadBook,
-    domain: DomainName,
-    options: PlacementOptions,
-    hashed: int,
-    now_ms: float,
-) -> Iterator[tuple[float, int, Upstream, UpstreamLoad]]:
-    for upstream in pool:
-        load = loads.of(upstream)
-        cost = cost_of(upstream, load, domain, options, now_ms)
-        # Instances that know the same spread their flows over equal upstreams.
-        order = (hashed ^ upstream.token) * MIX_MULTIPLIER & MIX_MASK
-        yield cost, order, upstream, load
+class Candidate(NamedTuple):
+    """An upstream with its load and the cost of placing a flow there."""
+
+    upstream: Upstream
+    load: UpstreamLoad
+    cost: float
 
 
 def cost_of(
     upstream: Upstream,
     load: UpstreamLoad,
+    reachability: Reachability,
     domain: DomainName,
     options: PlacementOptions,
     now_ms: float,
 ) -> float:
-    """Return the cost of placing one more flow on an upstream."""
+    """Return the load of an upstream by slot, with what else speaks against it."""
     idle_flows = max(0, load.open_flows - load.in_progress)
     busy = load.in_progress + options.idle_flow * idle_flows
+    busy += options.others_busy * load.others_busy
+    busy += options.trouble * (load.trouble(now_ms) + load.others_trouble)
     cost = busy / upstream.entry.slots
     if upstream.entry.domain != domain:
         cost += options.remote
@@ -130,7 +146,25 @@
         cost += options.cold
     if upstream.state is UpstreamState.MISSING:
         cost += options.missing
-    if load.is_silent(options.silence):
-        if now_ms - load.tried_ms < options.silence.retry_ms:
-            cost += options.silent
+    is_reachable = reachability.verdict(upstream.token) is Verdict.REACHABLE
+    if not is_reachable or _is_silent(load, options, now_ms):
+        cost += options.silent
     return cost
+
+
+def _is_silent(load: UpstreamLoad, options: PlacementOptions, now_ms: float) -> bool:
+    is_resting = now_ms - load.tried_ms < options.silence.retry_ms
+    return is_resting and load.is_silent(options.silence)
+
+
+def _with_loads(
+    pool: Iterable[Upstream],
+    loads: LoadBook,
+) -> Iterator[tuple[Upstream, UpstreamLoad]]:
+    for upstream in pool:
+        yield upstream, loads.of(upstream.token)
+
+
+def _order(candidate: Candidate, hashed: int) -> int:
+    """Return a number that spreads flows over upstreams of equal cost."""
+    return (hashed ^ candidate.upstream.token) * MIX_MULTIPLIER & MIX_MASK
--- a/src/cardamomtiller/forwarding/rawsocket.py
+++ b/src/cardamomtiller/forwarding/rawsocket.py
@@ -4,9 +4,11 @@
 quarter of the time from start to the first forwarded packet.
 """
 
+import errno
 from _socket import (
     AF_INET,
     IPPROTO_TCP,
+    SO_ERROR,
     SO_RCVBUF,
     SOCK_DGRAM,
     SOCK_STREAM,
@@ -15,7 +17,13 @@
     socket,
 )
 
-__all__ = ('datagram_socket', 'stream_socket')
+__all__ = (
+    'connecting_socket',
+    'connection_error',
+    'datagram_socket',
+    'socket',
+    'stream_socket',
+)
 
 
 def datagram_socket(address: tuple[str, int], receive_buffer_bytes: int) -> socket:
@@ -45,3 +53,26 @@
         raise
     opened.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
     return opened
+
+
+def connecting_socket(address: tuple[str, int]) -> socket:
+    """
+    Return a TCP socket that is about to connect.
+
+    Raises
+    ------
+    OSError
+        If the connection fails at once.
+    """
+    opened = socket(AF_INET, SOCK_STREAM)
+    opened.setblocking(False)
+    code = opened.connect_ex(address)
+    if code not in {0, errno.EINPROGRESS}:
+        opened.close()
+        raise OSError(code, 'connection failed')
+    return opened
+
+
+def connection_error(opened: socket) -> int:
+    """Return the error number of a connection, 0 if it is open."""
+    return int(opened.getsockopt(SOL_SOCKET, SO_ERROR))
--- /dev/null
+++ b/src/cardamomtiller/forwarding/reachability.py
@@ -0,0 +1,184 @@
+"""Whether an upstream can be reached, decided by silence and then by a probe.
+
+The load this answers: the seconds after an upstream dies or is cut off, when its
+long flows hold their users until their deadlines. Silence of flows only raises a
+suspicion, because a slow upstream is silent too. A suspected upstream is probed by a
+TCP connection; only one that does not answer that either is unreachable, and then
+its flows may be reset so that the users can go on elsewhere.
+"""
+
+from collections.abc import Iterator
+from enum import Enum
+from typing import NamedTuple
+
+from cardamomtiller.forwarding.packet import Token
+
+
+class Verdict(Enum):
+    """What is known of the path to an upstream."""
+
+    REACHABLE = 'reachable'
+    SUSPECTED = 'suspected'
+    UNREACHABLE = 'unreachable'
+
+
+class ProbeResult(Enum):
+    """How a probe ended."""
+
+    CONNECTED = 'connected'
+    REFUSED = 'refused'
+    TIMED_OUT = 'timed_out'
+
+
+class ReachabilityOptions(NamedTuple):
+    """
+    Times and counts of the decision.
+
+    Attributes
+    ----------
+    probe_timeout_ms
+        How long a probe may take.
+    timeouts
+        Probes in a row that must time out; one refusal is enough.
+    pause_ms
+        Least time between a probe that succeeded and the next suspicion.
+    retry_ms
+        Time between probes of an unreachable upstream.
+    kept_ms
+        How long an unreachable upstream is probed.
+    """
+
+    probe_timeout_ms: float
+    timeouts: int
+    pause_ms: float
+    retry_ms: float
+    kept_ms: float
+
+
+class Path:
+    """State of the path to one upstream."""
+
+    __slots__ = ('changed_ms', 'is_probing', 'next_probe_ms', 'timeouts', 'verdict')
+
+    def __init__(self, now_ms: float) -> None:
+        """Start suspected, with a probe due at once."""
+        self.verdict = Verdict.SUSPECTED
+        self.changed_ms = now_ms
+        self.next_probe_ms = now_ms
+        self.is_probing = False
+        self.timeouts = 0
+
+
+class Change(NamedTuple):
+    """A verdict that changed, and what decided it."""
+
+    token: Token
+    verdict: Verdict
+    reason: str
+    suspected_for_ms: float
+
+
+class Reachability:
+    """Verdicts by token; an upstream without one is reachable."""
+
+    def __init__(self, options: ReachabilityOptions) -> None:
+        """Start with all upstreams reachable."""
+        self._options = options
+        self._paths: dict[Token, Path] = {}
+        self._trusted_until_ms: dict[Token, float] = {}
+        # Whether a suspicion was raised since the last look for due probes.
+        self.is_probe_due = False
+
+    def verdict(self, token: Token) -> Verdict:
+        """Return what is known of the path to an upstream."""
+        path = self._paths.get(token)
+        return path.verdict if path else Verdict.REACHABLE
+
+    def suspected(self) -> list[Token]:
+        """Return the upstreams that are suspected or unreachable."""
+        return list(self._paths)
+
+    def suspect(self, token: Token, now_ms: float) -> bool:
+        """Raise a suspicion; return whether it is a new one."""
+        if token in self._paths:
+            return False
+        if now_ms < self._trusted_until_ms.get(token, now_ms):
+            return False
+        self._paths[token] = Path(now_ms)
+        self.is_probe_due = True
+        return True
+
+    def give_up(self, token: Token, reason: str, now_ms: float) -> Change | None:
+        """Take certain knowledge that an upstream is gone."""
+        path = self._paths.setdefault(token, Path(now_ms))
+        if path.verdict is Verdict.UNREACHABLE:
+            return None
+        return self._mark_unreachable(token, path, reason, now_ms)
+
+    def hear(self, token: Token, now_ms: float) -> Change | None:
+        """Take a sign of life, which ends a suspicion."""
+        if token not in self._paths:
+            return None
+        return self._clear(token, 'answered', now_ms)
+
+    def due_probes(self, now_ms: float) -> Iterator[Token]:
+        """Iterate over the upstreams to probe now, which then count as probed."""
+        self.is_probe_due = False
+        for token, path in tuple(self._paths.items()):
+            if now_ms - path.changed_ms > self._options.kept_ms:
+                del self._paths[token]
+            elif not path.is_probing and now_ms >= path.next_probe_ms:
+                path.is_probing = True
+                yield token
+
+    def take_probe(
+        self,
+        token: Token,
+        result: ProbeResult,
+        now_ms: float,
+    ) -> Change | None:
+        """Take the result of a probe; return the verdict if it has changed."""
+        path = self._paths.get(token)
+        if path is None:
+            return None
+        path.is_probing = False
+        if result is ProbeResult.CONNECTED:
+            self._trusted_until_ms[token] = now_ms + self._options.pause_ms
+            return self._clear(token, result.value, now_ms)
+        path.timeouts += 1
+        if path.verdict is Verdict.UNREACHABLE:
+            path.next_probe_ms = now_ms + self._options.retry_ms
+            return None
+        if result is ProbeResult.TIMED_OUT and path.timeouts < self._options.timeouts:
+            path.next_probe_ms = now_ms
+            return None
+        return self._mark_unreachable(token, path, result.value, now_ms)
+
+    def _mark_unreachable(
+        self,
+        token: Token,
+        path: Path,
+        reason: str,
+        now_ms: float,
+    ) -> Change:
+        suspected_for_ms = now_ms - path.changed_ms
+        path.verdict = Verdict.UNREACHABLE
+        path.changed_ms = now_ms
+        path.next_probe_ms = now_ms + self._options.retry_ms
+        return Change(token, path.verdict, reason, suspected_for_ms)
+
+    def _clear(self, token: Token, reason: str, now_ms: float) -> Change | None:
+        path = self._paths.pop(token)
+        if path.verdict is Verdict.SUSPECTED:
+            return None
+        elapsed_ms = now_ms - path.changed_ms
+        return Change(token, Verdict.REACHABLE, reason, elapsed_ms)
+
+
+DEFAULT_REACHABILITY = ReachabilityOptions(
+    probe_timeout_ms=250,
+    timeouts=2,
+    pause_ms=1000,
+    retry_ms=500,
+    kept_ms=60_000,
+)
--- a/src/cardamomtiller/forwarding/upstreams.py
+++ b/src/cardamomtiller/forwarding/upstreams.py
@@ -86,7 +86,9 @@
         self._departed_kept_ms = departed_kept_ms
         self._by_id: dict[UpstreamId, Upstream] = {}
         self._by_token: dict[Token, Upstream] = {}
-        self._pools: dict[ServiceName, tuple[Upstream, ...]] = {}
+        self._by_address: dict[SocketAddress, Upstream] = {}
+        # Built when it is asked for, because entries change many at a time.
+        self._pools: dict[ServiceName, tuple[Upstream, ...]] | None = None
 
     def __iter__(self) -> Iterator[Upstream]:
         """Iterate over all upstreams that are known, departed ones too."""
@@ -96,8 +98,15 @@
         """Return the upstream that a token names."""
         return self._by_token.get(token)
 
+    def is_superseded(self, upstream: Upstream) -> bool:
+        """Return whether a later upstream has the address, so this one has ended."""
+        holder = self._by_address.get(upstream.entry.address, upstream)
+        return holder.entry.incarnation > upstream.entry.incarnation
+
     def pool(self, service: ServiceName) -> tuple[Upstream, ...]:
         """Return the upstreams that may get new flows of a service."""
+        if self._pools is None:
+            self._pools = self._build_pools()
         return self._pools.get(service, ())
 
     def put(self, entry: UpstreamEntry, now_ms: float) -> Upstream:
@@ -109,7 +118,9 @@
             self._claim_token(upstream)
         else:
             upstream.take(entry, now_ms)
-        self._rebuild()
+        if not self.is_superseded(upstream):
+            self._by_address[entry.address] = upstream
+        self._pools = None
         return upstream
 
     def remove(self, upstream_id: UpstreamId, now_ms: float) -> Upstream | None:
@@ -117,7 +128,7 @@
         upstream = self._by_id.get(upstream_id)
         if upstream is not None:
             upstream.lose(now_ms)
-            self._rebuild()
+            self._pools = None
         return upstream
 
     def expire(self, now_ms: float) -> list[Upstream]:
@@ -133,7 +144,7 @@
                 if age_ms > self._departed_kept_ms:
                     self._forget(upstream)
         if missed:
-            self._rebuild()
+            self._pools = None
         return missed
 
     def _claim_token(self, upstream: Upstream) -> None:
@@ -145,20 +156,22 @@
 
     def _forget(self, upstream: Upstream) -> None:
         del self._by_id[upstream.entry.upstream]
+        if self._by_address.get(upstream.entry.address) is upstream:
+            del self._by_address[upstream.entry.address]
         if self._by_token.get(upstream.token) is upstream:
             del self._by_token[upstream.token]
             for other in self._by_id.values():
                 if other.token == upstream.token:
                     self._claim_token(other)
-            self._rebuild()
+            self._pools = None
 
-    def _rebuild(self) -> None:
+    def _build_pools(self) -> dict[ServiceName, tuple[Upstream, ...]]:
         pools: dict[ServiceName, list[Upstream]] = {}
         for upstream in self._by_id.values():
             is_eligible = upstream.state in {UpstreamState.READY, UpstreamState.MISSING}
             if is_eligible and self._by_token.get(upstream.token) is upstream:
                 pools.setdefault(upstream.entry.service, []).append(upstream)
-        self._pools = {service: tuple(pool) for service, pool in pools.items()}
+        return {service: tuple(pool) for service, pool in pools.items()}
 
 
 def token_of(upstream_id: UpstreamId) -> Token:
