--- a/src/cardamomtiller/forwarding/node.py
+++ b/src/cardamomtiller/forwarding/node.py
@@ -284,9 +284,14 @@
             is_published_source=reading.is_from_source,
             error=error,
             revision=self._picture.revision,
-            picture_age_ms=round(self._picture.age_ms(now_ms)),
+            picture_age_ms=self._picture_age_ms(now_ms),
         )
 
+    def _picture_age_ms(self, now_ms: float) -> int | None:
+        if self._picture.confirmed_ms is None:
+            return None
+        return round(self._picture.age_ms(now_ms))
+
     def _start_serving(self, now_ms: float) -> None:
         self._phase = Phase.SERVING
         self._poller.register(self._packets.fileno(), select.EPOLLIN)
--- /dev/null
+++ b/tools/packet_deployment.py
@@ -0,0 +1,498 @@
+"""
+A deployment of forwarding instances on this machine, with stand-ins for the rest.
+
+Instances are real processes of the platform adapter. The store, the routers, the
+clients and the upstreams are stand-ins in this process: upstreams and clients speak
+the packets of the platform over loopback, each on an address of 127.0.0.0/8.
+"""
+
+import contextlib
+import itertools
+import json
+import os
+import selectors
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import zlib
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from tools.standins.store import Store
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.append(str(ROOT / 'platform'))
+
+from packets import ACKNOWLEDGING, CLOSING, HEADER, OPENING, RESET  # noqa: E402
+
+CLIENT_HOST = '127.81.0.1'
+ROUTE_HOST = '198.18.0.1'
+PACKET_PORT = 8172
+READY_PORT = 8167
+INNER_PORT = 7720
+UPSTREAM_PORT = 8000
+FRAME_BYTES = 8
+RETRANSMIT_S = (0.2, 0.6, 1.4, 3.0)
+ATTEMPT_S = 1.4
+DEADLINE_S = 3.0
+ANSWER_BYTES = 100
+MASK = 0xFFFFFFFF
+
+
+def host_number(host: str) -> int:
+    """Return an IPv4 address as a number."""
+    return int.from_bytes(socket.inet_aton(host), 'big')
+
+
+@dataclass
+class Upstream:
+    """A stand-in upstream: one socket, and the flows that it holds."""
+
+    name: str
+    service: str
+    domain: str
+    host: str
+    work_s: float = 0.01
+    slots: int = 2
+    born: int = 1
+    flows: dict[tuple[int, int], int] = field(default_factory=dict)
+    runs: Counter[int] = field(default_factory=Counter)
+    misdirected: int = 0
+    is_dark: bool = False
+
+    def entry(self, state: str = 'ready') -> dict[str, Any]:
+        """Return what it publishes of itself."""
+        return {
+            'service': self.service,
+            'address': f'{self.host}:{UPSTREAM_PORT}',
+            'zone': self.domain,
+            'version': 'v1',
+            'slots': self.slots,
+            'state': state,
+            'warmup_left_ms': 0,
+            'sequence': 1,
+            'born': self.born,
+        }
+
+
+@dataclass
+class Attempt:
+    """One request of a client on a flow of its own or on a long one."""
+
+    port: int
+    route_port: int
+    number: int
+    started_s: float
+    sent: int = 0
+    next_s: float = 0.0
+    sequence: int = 0
+    acknowledged: int = 0
+    token: int = 0
+    is_open: bool = False
+    outcome: str = ''
+    finished_s: float = 0.0
+
+
+class Ends:
+    """All clients and upstreams, in one thread."""
+
+    def __init__(self, upstreams: list[Upstream]) -> None:
+        """Open the sockets."""
+        self.upstreams = {one.name: one for one in upstreams}
+        self.instances: list[str] = []
+        self.attempts: dict[int, Attempt] = {}
+        self.finished: list[Attempt] = []
+        self.foreign_resets = 0
+        self._numbers = itertools.count(1)
+        self._ports = itertools.count(1024)
+        self._due: list[tuple[float, Upstream, bytes]] = []
+        self._selector = selectors.DefaultSelector()
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._client = self._open_socket((CLIENT_HOST, PACKET_PORT), None)
+        self._sockets = {
+            one.name: self._open_socket((one.host, UPSTREAM_PORT), one)
+            for one in upstreams
+        }
+        self._listeners = {one.name: self._listen(one) for one in upstreams}
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def request(self, route_port: int, flow: Attempt | None = None) -> Attempt:
+        """Start a request, on a new flow or on an open one."""
+        now_s = time.monotonic()
+        with self._lock:
+            number = next(self._numbers)
+            port = flow.port if flow else next(self._ports) % 60_000 + 1024
+            attempt = Attempt(port, route_port, number, now_s, next_s=now_s)
+            if flow is not None:
+                attempt.is_open = True
+                attempt.sequence = flow.sequence
+                attempt.acknowledged = flow.acknowledged
+                attempt.token = flow.token
+            self.attempts[port] = attempt
+        return attempt
+
+    def kill(self, name: str) -> None:
+        """Let an upstream fall silent for good; its host answers nothing."""
+        self.upstreams[name].is_dark = True
+        self._listeners[name].close()
+
+    def close(self) -> None:
+        """Stop the thread and close the sockets."""
+        self._stopped.set()
+        self._thread.join()
+        for opened in (self._client, *self._sockets.values()):
+            opened.close()
+        for name, listener in self._listeners.items():
+            if not self.upstreams[name].is_dark:
+                listener.close()
+
+    def _open_socket(
+        self,
+        address: tuple[str, int],
+        owner: Upstream | None,
+    ) -> socket.socket:
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.bind(address)
+        opened.setblocking(False)
+        self._selector.register(opened, selectors.EVENT_READ, owner)
+        return opened
+
+    def _listen(self, owner: Upstream) -> socket.socket:
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((owner.host, UPSTREAM_PORT))
+        listener.listen(16)
+        return listener
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            for key, _ in self._selector.select(0.01):
+                self._receive(key.fileobj, key.data)  # type: ignore[arg-type]
+            now_s = time.monotonic()
+            with self._lock:
+                self._answer_due(now_s)
+                for attempt in tuple(self.attempts.values()):
+                    self._advance(attempt, now_s)
+
+    def _receive(self, opened: socket.socket, owner: Upstream | None) -> None:
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                datagram = opened.recv(65_535)
+                with self._lock:
+                    if owner is None:
+                        self._take_at_client(datagram)
+                    else:
+                        self._take_at_upstream(owner, datagram)
+
+    def _take_at_upstream(self, owner: Upstream, datagram: bytes) -> None:
+        if owner.is_dark:
+            return
+        frame, packet = datagram[:FRAME_BYTES], datagram[FRAME_BYTES:]
+        if int.from_bytes(frame, 'big') != int(owner.name.removeprefix('i-'), 16):
+            owner.misdirected += 1
+            return
+        seq, _, _, flags, _, size, token, port, _, route_port, _ = HEADER.unpack_from(
+            packet,
+        )
+        flow = (port, route_port)
+        if flags & OPENING:
+            owner.flows.setdefault(flow, 1)
+            self._to_client(owner, flow, OPENING | ACKNOWLEDGING, token, 500, 0)
+        elif flow not in owner.flows:
+            self._to_client(owner, flow, RESET, token, 0, 0)
+        elif flags & CLOSING:
+            owner.flows.pop(flow)
+        elif size:
+            number = int.from_bytes(packet[HEADER.size : HEADER.size + 8], 'big')
+            owner.runs[number] += 1
+            owner.flows[flow] = max(owner.flows[flow], seq + size)
+            due_s = time.monotonic() + owner.work_s
+            answer = self._packet(flow, ACKNOWLEDGING, token, seq, ANSWER_BYTES)
+            self._due.append((due_s, owner, answer + packet[HEADER.size :][:8]))
+
+    def _to_client(
+        self,
+        owner: Upstream,
+        flow: tuple[int, int],
+        flags: int,
+        token: int,
+        seq: int,
+        size: int,
+    ) -> None:
+        datagram = self._packet(flow, flags, token, seq, size)
+        self._sockets[owner.name].sendto(datagram, (CLIENT_HOST, PACKET_PORT))
+
+    def _packet(
+        self,
+        flow: tuple[int, int],
+        flags: int,
+        token: int,
+        seq: int,
+        size: int,
+    ) -> bytes:
+        port, route_port = flow
+        # Its sum tells a reset of an upstream from one of an instance.
+        return HEADER.pack(
+            seq,
+            0,
+            1,
+            flags,
+            0,
+            size,
+            token,
+            route_port,
+            host_number(ROUTE_HOST),
+            port,
+            host_number(CLIENT_HOST),
+        )
+
+    def _answer_due(self, now_s: float) -> None:
+        due = [one for one in self._due if one[0] <= now_s]
+        self._due = [one for one in self._due if one[0] > now_s]
+        for _, owner, datagram in due:
+            if not owner.is_dark:
+                self._sockets[owner.name].sendto(datagram, (CLIENT_HOST, PACKET_PORT))
+
+    def _take_at_client(self, datagram: bytes) -> None:
+        _, _, total, flags, _, _, token, _, _, port, _ = HEADER.unpack_from(
+            datagram,
+        )
+        # ``dport`` of a packet to the client is the client's own port.
+        attempt = self.attempts.get(port)
+        if attempt is None:
+            return
+        now_s = time.monotonic()
+        if flags & RESET:
+            self.foreign_resets += not total
+            self._finish(attempt, 'reset' if total else 'refused', now_s)
+        elif flags & OPENING:
+            if not attempt.is_open:
+                attempt.is_open = True
+                attempt.token = token
+                attempt.sequence = 101
+                attempt.acknowledged = 501
+                attempt.sent = 0
+                attempt.next_s = now_s
+        elif datagram[HEADER.size :][:8] == attempt.number.to_bytes(8, 'big'):
+            attempt.sequence += 8
+            attempt.acknowledged += ANSWER_BYTES
+            self._send(attempt, ACKNOWLEDGING, b'')
+            self._finish(attempt, 'done', now_s)
+
+    def _finish(self, attempt: Attempt, outcome: str, now_s: float) -> None:
+        attempt.outcome = outcome
+        attempt.finished_s = now_s
+        self.attempts.pop(attempt.port, None)
+        self.finished.append(attempt)
+
+    def _advance(self, attempt: Attempt, now_s: float) -> None:
+        if now_s < attempt.next_s:
+            return
+        if not attempt.is_open and now_s - attempt.started_s >= ATTEMPT_S:
+            self._finish(attempt, 'not opened', now_s)
+            return
+        if now_s - attempt.started_s >= DEADLINE_S:
+            self._finish(attempt, 'deadline', now_s)
+            return
+        if attempt.is_open:
+            self._send(attempt, ACKNOWLEDGING, attempt.number.to_bytes(8, 'big'))
+        else:
+            self._send(attempt, OPENING, b'')
+        pause = RETRANSMIT_S[min(attempt.sent, len(RETRANSMIT_S) - 1)]
+        before = RETRANSMIT_S[attempt.sent - 1] if attempt.sent else 0
+        attempt.next_s = now_s + max(pause - before, 0.1)
+        attempt.sent += 1
+
+    def _send(self, attempt: Attempt, flags: int, payload: bytes) -> None:
+        if not self.instances:
+            return
+        is_opening = bool(flags & OPENING)
+        datagram = HEADER.pack(
+            100 if is_opening else attempt.sequence,
+            attempt.sent if is_opening else attempt.acknowledged,
+            1,
+            flags,
+            0,
+            len(payload),
+            0 if is_opening else attempt.token,
+            attempt.port,
+            host_number(CLIENT_HOST),
+            attempt.route_port,
+            host_number(ROUTE_HOST),
+        )
+        chosen = zlib.crc32(str(attempt.port).encode()) % len(self.instances)
+        address = (self.instances[chosen], PACKET_PORT)
+        with contextlib.suppress(OSError):
+            self._client.sendto(datagram + payload, address)
+
+
+class Deployment:
+    """Instances as processes, with the store and the ends."""
+
+    def __init__(self, domains: dict[str, int], services: dict[str, int]) -> None:
+        """Start everything; ``wait_until_ready`` tells when it serves."""
+        self.store = Store(('127.0.0.1', 0))
+        names = list(domains)
+        self.upstreams = [
+            Upstream(
+                f'i-{index * 100 + number + 1:08x}',
+                service,
+                names[number % len(names)],
+                f'127.83.{index}.{number + 1}',
+            )
+            for index, (service, count) in enumerate(services.items())
+            for number in range(count)
+        ]
+        self.ends = Ends(self.upstreams)
+        self.routes = {443 + index: service for index, service in enumerate(services)}
+        self._version = 0
+        self.publish_configuration()
+        for upstream in self.upstreams:
+            self.store.put(f'servers/{upstream.name}', upstream.entry())
+        self.hosts = {
+            f'127.82.{index}.{number + 1}': name
+            for index, (name, count) in enumerate(domains.items())
+            for number in range(count)
+        }
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.logs = {host: self._log_path(host) for host in self.hosts}
+        for host in self.hosts:
+            self.start(host)
+        self.ends.instances = list(self.hosts)
+
+    def publish_configuration(self, *extra_ports: int) -> None:
+        """Write a new version; extra ports lead to the first service."""
+        self._version += 3
+        first = next(iter(self.routes.values()))
+        ports = {**self.routes, **dict.fromkeys(extra_ports, first)}
+        routes = [
+            {
+                'name': f'route-{port}',
+                'host': ROUTE_HOST,
+                'prefix': f'/{port}/',
+                'type': 'safe',
+                'timeout_ms': 3000,
+                'target_latency_ms': 300,
+                'priority': 1,
+                'service': service,
+            }
+            for port, service in ports.items()
+        ]
+        limits = {'idle_timeout_ms': 12_000}
+        value = {'version': self._version, 'routes': routes, 'limits': limits}
+        self.store.put('op/config', value)
+
+    def start(self, host: str) -> None:
+        """Start the instance of a host."""
+        settings = self._settings_path(host)
+        settings.write_text(json.dumps(self._settings(host)))
+        packages = Path(sys.modules['ujson'].__file__ or '').parent
+        environment = {
+            'PATH': os.environ['PATH'],
+            'PYTHONPATH': f'{ROOT / "src"}:{packages}',
+            'CARDAMOMTILLER_BOOT': str(settings),
+        }
+        with self.logs[host].open('ab') as log:
+            self.processes[host] = subprocess.Popen(
+                [sys.executable, '-S', '-s', str(ROOT / 'platform' / 'main.py')],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def wait_until_ready(self, timeout_s: float = 15.0) -> None:
+        """
+        Return once every running instance says that it serves.
+
+        Raises
+        ------
+        TimeoutError
+            If one does not in time.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        for host in self.processes:
+            while self.status(host) != 200:
+                if time.monotonic() > deadline_s:
+                    raise TimeoutError(f'{host} does not serve')
+                time.sleep(0.05)
+
+    def status(self, host: str) -> int:
+        """Return the status of the health check of an instance, 0 for none."""
+        answer = self.fetch(host, READY_PORT, '/readiness')
+        return int(answer.split(b' ')[1]) if answer else 0
+
+    def fetch(self, host: str, port: int, path: str) -> bytes:
+        """Return the answer to a request, empty if there is none."""
+        request = f'GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n'.encode()
+        try:
+            with socket.create_connection((host, port), timeout=1) as connection:
+                connection.sendall(request)
+                return connection.recv(1 << 20)
+        except OSError:
+            return b''
+
+    def signal(self, host: str, number: signal.Signals) -> None:
+        """Send a signal to an instance."""
+        self.processes[host].send_signal(number)
+
+    def drain(self, name: str) -> None:
+        """Let an upstream say that it drains."""
+        upstream = self.ends.upstreams[name]
+        self.store.put(f'servers/{name}', upstream.entry('draining'))
+
+    def log_rows(self, host: str) -> Iterator[dict[str, Any]]:
+        """Iterate over the log lines of an instance."""
+        for line in self.logs[host].read_text().splitlines():
+            with contextlib.suppress(ValueError):
+                yield json.loads(line)
+
+    def close(self) -> None:
+        """End all processes that were started, and the stand-ins."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        self.ends.close()
+        self.store.close()
+
+    def _settings(self, host: str) -> dict[str, Any]:
+        address, port = self.store.address
+        return {
+            'node_name': f'instance-{host}',
+            'ip': host,
+            'zone': self.hosts[host],
+            'internal_port_range': [INNER_PORT, INNER_PORT + 15],
+            'seeds': [f'{seed}:8166' for seed in list(self.hosts)[:3]],
+            'listen': {
+                'datagram_address': f'{host}:{PACKET_PORT}',
+                'ready': f'{host}:{READY_PORT}',
+            },
+            'limits': {'link_mbps': 1000.0},
+            'bounds': {
+                'grace_period_s': 4,
+                'config_apply_ms': 3000,
+                'drain_timeout_ms': 3000,
+            },
+            'platform': {'address': f'{address}:{port}'},
+        }
+
+    def _settings_path(self, host: str) -> Path:
+        return self._folder() / f'{host}.json'
+
+    def _log_path(self, host: str) -> Path:
+        path = self._folder() / f'{host}.log'
+        path.unlink(missing_ok=True)
+        return path
+
+    def _folder(self) -> Path:
+        folder = ROOT / 'build' / 'packet-deployment'
+        folder.mkdir(parents=True, exist_ok=True)
+        return folder
