Tell reordered packets of an upload from retransmissions

A retransmission now needs a pause of 150 ms. The log names each suspicion and its evidence, which showed the cause; a lost SYN+ACK and slow requests were ruled out by it.

--- a/src/cardamomtiller/forwarding/flows.py
+++ b/src/cardamomtiller/forwarding/flows.py
@@ -15,6 +15,8 @@
 
 SEQUENCE_MASK = 0xFFFFFFFF
 HALF_SEQUENCE = 1 << 31
+# A client sends a packet again after 200 ms at the earliest.
+RETRANSMISSION_PAUSE_MS = 150
 
 
 class Observation(Enum):
@@ -43,6 +45,7 @@
         'is_opened',
         'key',
         'opened_ms',
+        'payload_ms',
         'requests',
         'retransmissions',
         'seen_ms',
@@ -56,6 +59,7 @@
         self.key = key
         self.upstream = upstream
         self.opened_ms = now_ms
+        self.payload_ms = now_ms
         self.seen_ms = now_ms
         self.is_opened = False
         self.acknowledged: int | None = None
@@ -85,7 +89,13 @@
             packet.sequence,
             self.sent_sequence,
         )
+        pause_ms = now_ms - self.payload_ms
+        self.payload_ms = now_ms
         if not is_new:
+            # Packets of one window may overtake each other; a retransmission comes
+            # after a pause.
+            if pause_ms < RETRANSMISSION_PAUSE_MS:
+                return Observation.NOTHING
             self.retransmissions += 1
             return Observation.RETRANSMISSION
         self.sent_sequence = packet.sequence
--- a/src/cardamomtiller/forwarding/forwarder.py
+++ b/src/cardamomtiller/forwarding/forwarder.py
@@ -11,7 +11,7 @@
 )
 from cardamomtiller.forwarding.decisionlog import DecisionLog
 from cardamomtiller.forwarding.flows import Flow, FlowTable, Observation
-from cardamomtiller.forwarding.load import LoadBook
+from cardamomtiller.forwarding.load import LoadBook, UpstreamLoad
 from cardamomtiller.forwarding.meters import Meters
 from cardamomtiller.forwarding.options import ForwardingOptions
 from cardamomtiller.forwarding.packet import (
@@ -149,7 +149,7 @@
             if load.others_trouble >= self._options.suspicious_trouble:
                 upstream_in_trouble = self.directory.by_token(token)
                 if upstream_in_trouble is not None:
-                    self._suspect(upstream_in_trouble, now_ms)
+                    self._suspect(upstream_in_trouble, 'reported', now_ms)
         for idle in self._flows.take_idle(now_ms):
             self.loads.detach(idle, now_ms)
         for stalled in tuple(self._flows.stalled(now_ms)):
@@ -200,7 +200,7 @@
         if flow is None or not packet.copy:
             return None
         self.loads.of(flow.upstream.token).miss_open(now_ms)
-        self._suspect(flow.upstream, now_ms)
+        self._suspect(flow.upstream, 'open_unanswered', now_ms)
         self._meters.count('opens_repeated')
         return flow.upstream.entry.upstream
 
@@ -293,11 +293,22 @@
             load.miss_answer(now_ms)
         elif flow.retransmissions == 2:
             load.add_trouble(now_ms)
-        heard_ms = load.heard_ms
-        if heard_ms is None or now_ms - heard_ms > self._options.silent_ms:
-            self._suspect(flow.upstream, now_ms)
+        if self._is_silence_suspicious(flow, load):
+            self._suspect(flow.upstream, 'requests_unanswered', now_ms)
+
+    def _is_silence_suspicious(self, flow: Flow, load: UpstreamLoad) -> bool:
+        """Return whether more than one long request would explain the silence."""
+        if load.silent_flows >= self._options.suspicious_flows:
+            return True
+        started_ms = flow.started_ms
+        is_heard = (
+            load.heard_ms is not None
+            and started_ms is not None
+            and load.heard_ms > started_ms
+        )
+        return not is_heard and flow.retransmissions >= 2
 
-    def _suspect(self, upstream: Upstream, now_ms: float) -> None:
+    def _suspect(self, upstream: Upstream, evidence: str, now_ms: float) -> None:
         if self.directory.is_superseded(upstream):
             reason = 'address_reused'
             change = self.reachability.give_up(upstream.token, reason, now_ms)
@@ -305,6 +316,14 @@
                 self.log_reachability(change, now_ms)
         elif self.reachability.suspect(upstream.token, now_ms):
             self._meters.count('upstreams_suspected')
+            heard_ms = self.loads.of(upstream.token).heard_ms
+            self._log.write(
+                'upstream_suspected',
+                now_ms,
+                upstream=upstream.entry.upstream,
+                reason=evidence,
+                heard_before_ms=None if heard_ms is None else round(now_ms - heard_ms),
+            )
 
     def _hear(self, upstream: Upstream, now_ms: float) -> None:
         self.loads.of(upstream.token).hear(now_ms)
--- a/src/cardamomtiller/forwarding/options.py
+++ b/src/cardamomtiller/forwarding/options.py
@@ -22,8 +22,9 @@
         How long an upstream stays eligible after its entry has disappeared.
     departed_kept_ms
         How long a departed upstream still gets the packets of its flows.
-    silent_ms
-        Time without a sign of life after which a retransmission is a suspicion.
+    suspicious_flows
+        Flows that sent a request again without a sign of life of the upstream that
+        are a suspicion.
     suspicious_trouble
         Unanswered requests of other instances that are a suspicion.
     unknown_ms
@@ -35,7 +36,7 @@
     flows: FlowOptions
     missing_kept_ms: float
     departed_kept_ms: float
-    silent_ms: float
+    suspicious_flows: int
     suspicious_trouble: float
     unknown_ms: float
 
@@ -58,7 +59,7 @@
     flows=DEFAULT_FLOWS,
     missing_kept_ms=2000,
     departed_kept_ms=60_000,
-    silent_ms=150,
+    suspicious_flows=2,
     suspicious_trouble=1.5,
     unknown_ms=2500,
 )
--- a/src/cardamomtiller/forwarding/reachability.py
+++ b/src/cardamomtiller/forwarding/reachability.py
@@ -178,7 +178,7 @@
 DEFAULT_REACHABILITY = ReachabilityOptions(
     probe_timeout_ms=250,
     timeouts=2,
-    pause_ms=1000,
+    pause_ms=2000,
     retry_ms=500,
     kept_ms=60_000,
 )
--- a/tests/features/forwarding.feature
+++ b/tests/features/forwarding.feature
@@ -40,6 +40,10 @@
     And flows of an upstream whose address is used again are reset
     And an upstream that answers again keeps its flows
 
+  Scenario: Packets of an upload that overtake each other look like silence
+    Then reordered packets of a window are no retransmissions
+    And a packet that is sent again after a pause is one
+
   Scenario: An upstream starts again under its id
     Then the new incarnation gets flows under the same token
 
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -4,7 +4,7 @@
 
 from behave import then
 
-from cardamomtiller.forwarding.flows import FlowOptions
+from cardamomtiller.forwarding.flows import Flow, FlowOptions, Observation
 from cardamomtiller.forwarding.options import DEFAULT_FORWARDING
 from cardamomtiller.forwarding.reachability import ProbeResult, Verdict
 from cardamomtiller.forwarding.upstreams import (
@@ -255,6 +255,32 @@
     assert not rig.is_reset(delivery)
 
 
+def observe(flow, seq, now_ms):
+    """Let a flow see a packet with payload."""
+    packet = rig.HeaderFormat().decode(rig.packet(1000, seq=seq, ack=500, size=40))
+    return flow.observe(packet, now_ms)
+
+
+@then('reordered packets of a window are no retransmissions')
+def step_reordered(context):
+    forwarder = rig.make_forwarder(('u-1',))
+    token = rig.open_flow(forwarder, 1000)
+    flow = Flow(None, forwarder.directory.by_token(token), 0)
+    order = (101, 181, 141, 261, 221, 301)
+    seen = [observe(flow, seq, index) for index, seq in enumerate(order)]
+    assert Observation.RETRANSMISSION not in seen
+
+
+@then('a packet that is sent again after a pause is one')
+def step_sent_again(context):
+    forwarder = rig.make_forwarder(('u-1',))
+    token = rig.open_flow(forwarder, 1000)
+    flow = Flow(None, forwarder.directory.by_token(token), 0)
+    assert observe(flow, 101, 0) is Observation.REQUEST
+    assert observe(flow, 101, 200) is Observation.RETRANSMISSION
+    assert observe(flow, 101, 600) is Observation.RETRANSMISSION
+
+
 @then('the new incarnation gets flows under the same token')
 def step_reborn(context):
     forwarder = rig.make_forwarder(('u-1',))
--- a/tools/packet_deployment.py
+++ b/tools/packet_deployment.py
@@ -24,6 +24,8 @@
 from pathlib import Path
 from typing import Any
 
+import ujson
+
 from tools.standins.store import Store
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -65,6 +67,8 @@
     runs: Counter[int] = field(default_factory=Counter)
     misdirected: int = 0
     is_dark: bool = False
+    # Time and instance of each opening packet that it took.
+    opens: list[tuple[float, str]] = field(default_factory=list)
 
     def entry(self, state: str = 'ready') -> dict[str, Any]:
         """Return what it publishes of itself."""
@@ -106,6 +110,7 @@
         """Open the sockets."""
         self.upstreams = {one.name: one for one in upstreams}
         self.instances: list[str] = []
+        self.services: dict[int, str] = {}
         self.attempts: dict[int, Attempt] = {}
         self.finished: list[Attempt] = []
         self.foreign_resets = 0
@@ -185,14 +190,19 @@
     def _receive(self, opened: socket.socket, owner: Upstream | None) -> None:
         with contextlib.suppress(BlockingIOError):
             while True:
-                datagram = opened.recv(65_535)
+                datagram, (sender, _) = opened.recvfrom(65_535)
                 with self._lock:
                     if owner is None:
                         self._take_at_client(datagram)
                     else:
-                        self._take_at_upstream(owner, datagram)
+                        self._take_at_upstream(owner, datagram, sender)
 
-    def _take_at_upstream(self, owner: Upstream, datagram: bytes) -> None:
+    def _take_at_upstream(
+        self,
+        owner: Upstream,
+        datagram: bytes,
+        sender: str,
+    ) -> None:
         if owner.is_dark:
             return
         frame, packet = datagram[:FRAME_BYTES], datagram[FRAME_BYTES:]
@@ -203,7 +213,9 @@
             packet,
         )
         flow = (port, route_port)
+        owner.misdirected += self.services.get(route_port) not in {owner.service, None}
         if flags & OPENING:
+            owner.opens.append((time.monotonic(), sender))
             owner.flows.setdefault(flow, 1)
             self._to_client(owner, flow, OPENING | ACKNOWLEDGING, token, 500, 0)
         elif flow not in owner.flows:
@@ -271,7 +283,8 @@
             return
         now_s = time.monotonic()
         if flags & RESET:
-            self.foreign_resets += not total
+            if not total and self._is_held(attempt):
+                self.foreign_resets += 1
             self._finish(attempt, 'reset' if total else 'refused', now_s)
         elif flags & OPENING:
             if not attempt.is_open:
@@ -287,6 +300,13 @@
             self._send(attempt, ACKNOWLEDGING, b'')
             self._finish(attempt, 'done', now_s)
 
+    def _is_held(self, attempt: Attempt) -> bool:
+        """Return whether a living upstream holds the flow of an attempt."""
+        flow = (attempt.port, attempt.route_port)
+        return attempt.is_open and any(
+            flow in one.flows and not one.is_dark for one in self.upstreams.values()
+        )
+
     def _finish(self, attempt: Attempt, outcome: str, now_s: float) -> None:
         attempt.outcome = outcome
         attempt.finished_s = now_s
@@ -337,9 +357,26 @@
 class Deployment:
     """Instances as processes, with the store and the ends."""
 
-    def __init__(self, domains: dict[str, int], services: dict[str, int]) -> None:
-        """Start everything; ``wait_until_ready`` tells when it serves."""
+    def __init__(
+        self,
+        domains: dict[str, int],
+        services: dict[str, int],
+        store_addresses: dict[str, tuple[str, int]] | None = None,
+    ) -> None:
+        """
+        Start everything; ``wait_until_ready`` tells when it serves.
+
+        Parameters
+        ----------
+        domains
+            Number of instances of each failure domain.
+        services
+            Number of upstreams of each service.
+        store_addresses
+            Where an instance finds the store, if not at the store's own address.
+        """
         self.store = Store(('127.0.0.1', 0))
+        self.store_addresses = store_addresses or {}
         names = list(domains)
         self.upstreams = [
             Upstream(
@@ -353,6 +390,7 @@
         ]
         self.ends = Ends(self.upstreams)
         self.routes = {443 + index: service for index, service in enumerate(services)}
+        self.ends.services = self.routes
         self._version = 0
         self.publish_configuration()
         for upstream in self.upstreams:
@@ -394,7 +432,7 @@
         """Start the instance of a host."""
         settings = self._settings_path(host)
         settings.write_text(json.dumps(self._settings(host)))
-        packages = Path(sys.modules['ujson'].__file__ or '').parent
+        packages = Path(ujson.__file__).parent
         environment = {
             'PATH': os.environ['PATH'],
             'PYTHONPATH': f'{ROOT / "src"}:{packages}',
@@ -464,7 +502,7 @@
         self.store.close()
 
     def _settings(self, host: str) -> dict[str, Any]:
-        address, port = self.store.address
+        address, port = self.store_addresses.get(host, self.store.address)
         return {
             'node_name': f'instance-{host}',
             'ip': host,
