Prove the forwarding path with real processes and a seeded fault soak

Upstreams of a failure domain are suspected together.

The soak's check of resets looked at every upstream that holds a flow; a repeated opening packet opens a flow at two. It now looks at the one that the token names.

--- a/src/cardamomtiller/forwarding/forwarder.py
+++ b/src/cardamomtiller/forwarding/forwarder.py
@@ -109,6 +109,9 @@
 
     def take_entry(self, entry: UpstreamEntry, now_ms: float) -> None:
         """Take a new or changed upstream."""
+        known = self.directory.find(entry.upstream)
+        if known is not None and known.entry.incarnation != entry.incarnation:
+            self.reachability.forget(known.token)
         upstream = self.directory.put(entry, now_ms)
         self._log_upstream(upstream, now_ms, 'entry')
 
@@ -313,7 +316,7 @@
             reason = 'address_reused'
             change = self.reachability.give_up(upstream.token, reason, now_ms)
             if change is not None:
-                self.log_reachability(change, now_ms)
+                self.take_reachability(change, now_ms)
         elif self.reachability.suspect(upstream.token, now_ms):
             self._meters.count('upstreams_suspected')
             heard_ms = self.loads.of(upstream.token).heard_ms
@@ -327,9 +330,7 @@
 
     def _hear(self, upstream: Upstream, now_ms: float) -> None:
         self.loads.of(upstream.token).hear(now_ms)
-        change = self.reachability.hear(upstream.token, now_ms)
-        if change is not None:
-            self.log_reachability(change, now_ms)
+        self.reachability.hear(upstream.token)
 
     def _is_unreachable(self, upstream: Upstream) -> bool:
         return self.reachability.verdict(upstream.token) is Verdict.UNREACHABLE
@@ -392,9 +393,24 @@
             picture_steady_ms=round(self.steady_for_ms),
         )
 
-    def log_reachability(self, change: Change, now_ms: float) -> None:
-        """Log that an upstream became reachable or unreachable."""
+    def take_reachability(self, change: Change, now_ms: float) -> None:
+        """Take note that an upstream became reachable or unreachable."""
         upstream = self.directory.by_token(change.token)
+        self._log_reachability(change, upstream, now_ms)
+        if upstream is None or change.verdict is not Verdict.UNREACHABLE:
+            return
+        # A failure domain that is cut off takes all of its upstreams with it.
+        for neighbour in self.directory.in_domain(upstream.entry.domain):
+            heard_ms = self.loads.of(neighbour.token).heard_ms
+            if heard_ms is None or now_ms - heard_ms > self._options.neighbour_ms:
+                self._suspect(neighbour, 'neighbour_unreachable', now_ms)
+
+    def _log_reachability(
+        self,
+        change: Change,
+        upstream: Upstream | None,
+        now_ms: float,
+    ) -> None:
         self._meters.count(f'upstreams_{change.verdict.value}')
         self._log.write(
             f'upstream_{change.verdict.value}',
--- a/src/cardamomtiller/forwarding/node.py
+++ b/src/cardamomtiller/forwarding/node.py
@@ -234,7 +234,7 @@
         now_ms = steady_ms()
         change = self._forwarder.reachability.take_probe(token, result, now_ms)
         if change is not None:
-            self._forwarder.log_reachability(change, now_ms)
+            self._forwarder.take_reachability(change, now_ms)
 
     def _take_readings(self) -> None:
         before = self._picture.revision
--- a/src/cardamomtiller/forwarding/options.py
+++ b/src/cardamomtiller/forwarding/options.py
@@ -25,6 +25,9 @@
     suspicious_flows
         Flows that sent a request again without a sign of life of the upstream that
         are a suspicion.
+    neighbour_ms
+        Time without a sign of life after which an upstream is suspected because
+        another one of its failure domain is unreachable.
     suspicious_trouble
         Unanswered requests of other instances that are a suspicion.
     unknown_ms
@@ -37,6 +40,7 @@
     missing_kept_ms: float
     departed_kept_ms: float
     suspicious_flows: int
+    neighbour_ms: float
     suspicious_trouble: float
     unknown_ms: float
 
@@ -60,6 +64,7 @@
     missing_kept_ms=2000,
     departed_kept_ms=60_000,
     suspicious_flows=2,
+    neighbour_ms=300,
     suspicious_trouble=1.5,
     unknown_ms=2500,
 )
--- a/src/cardamomtiller/forwarding/reachability.py
+++ b/src/cardamomtiller/forwarding/reachability.py
@@ -58,7 +58,14 @@
 class Path:
     """State of the path to one upstream."""
 
-    __slots__ = ('changed_ms', 'is_probing', 'next_probe_ms', 'timeouts', 'verdict')
+    __slots__ = (
+        'changed_ms',
+        'is_final',
+        'is_probing',
+        'next_probe_ms',
+        'timeouts',
+        'verdict',
+    )
 
     def __init__(self, now_ms: float) -> None:
         """Start suspected, with a probe due at once."""
@@ -66,6 +73,8 @@
         self.changed_ms = now_ms
         self.next_probe_ms = now_ms
         self.is_probing = False
+        # Whether no probe can change the verdict any more.
+        self.is_final = False
         self.timeouts = 0
 
 
@@ -111,15 +120,25 @@
     def give_up(self, token: Token, reason: str, now_ms: float) -> Change | None:
         """Take certain knowledge that an upstream is gone."""
         path = self._paths.setdefault(token, Path(now_ms))
-        if path.verdict is Verdict.UNREACHABLE:
+        if path.is_final:
             return None
+        path.is_final = True
         return self._mark_unreachable(token, path, reason, now_ms)
 
-    def hear(self, token: Token, now_ms: float) -> Change | None:
-        """Take a sign of life, which ends a suspicion."""
-        if token not in self._paths:
-            return None
-        return self._clear(token, 'answered', now_ms)
+    def hear(self, token: Token) -> None:
+        """
+        Take a sign of life, which ends a suspicion.
+
+        It does not end the verdict that an upstream is unreachable: an upstream that
+        is cut off from this instance still answers what reaches it on other paths.
+        """
+        path = self._paths.get(token)
+        if path is not None and path.verdict is Verdict.SUSPECTED:
+            del self._paths[token]
+
+    def forget(self, token: Token) -> None:
+        """Start anew with an upstream, because it did."""
+        self._paths.pop(token, None)
 
     def due_probes(self, now_ms: float) -> Iterator[Token]:
         """Iterate over the upstreams to probe now, which then count as probed."""
@@ -127,7 +146,9 @@
         for token, path in tuple(self._paths.items()):
             if now_ms - path.changed_ms > self._options.kept_ms:
                 del self._paths[token]
-            elif not path.is_probing and now_ms >= path.next_probe_ms:
+            elif path.is_probing or path.is_final:
+                continue
+            elif now_ms >= path.next_probe_ms:
                 path.is_probing = True
                 yield token
 
@@ -139,7 +160,7 @@
     ) -> Change | None:
         """Take the result of a probe; return the verdict if it has changed."""
         path = self._paths.get(token)
-        if path is None:
+        if path is None or path.is_final:
             return None
         path.is_probing = False
         if result is ProbeResult.CONNECTED:
--- a/src/cardamomtiller/forwarding/upstreams.py
+++ b/src/cardamomtiller/forwarding/upstreams.py
@@ -98,6 +98,17 @@
         """Return the upstream that a token names."""
         return self._by_token.get(token)
 
+    def find(self, upstream_id: UpstreamId) -> Upstream | None:
+        """Return an upstream that is known."""
+        return self._by_id.get(upstream_id)
+
+    def in_domain(self, domain: DomainName) -> Iterator[Upstream]:
+        """Iterate over the upstreams of a failure domain that may get flows."""
+        for upstream in self:
+            is_eligible = upstream.state in {UpstreamState.READY, UpstreamState.MISSING}
+            if is_eligible and upstream.entry.domain == domain:
+                yield upstream
+
     def is_superseded(self, upstream: Upstream) -> bool:
         """Return whether a later upstream has the address, so this one has ended."""
         holder = self._by_address.get(upstream.entry.address, upstream)
--- /dev/null
+++ b/tests/features/steps/forwarding_live_steps.py
@@ -0,0 +1,175 @@
+"""Steps with real instances, and stand-ins for the rest."""
+
+import os
+import signal
+import time
+from collections import Counter
+
+from behave import given, then
+
+from cardamomtiller.forwarding.upstreams import token_of
+from tests import forwarding_rig as rig
+from tools.packet_deployment import Deployment
+from tools.packet_soak import Soak
+
+LANE = 81
+SOAK_SEED = 7
+SOAK_S = 6
+# The bound of the platform for a change to be in force.
+CHANGE_S = 3.0
+METRICS_PORT = 9402
+
+
+@given('a deployment of 4 instances and 6 upstreams')
+def step_deployment(context):
+    deployment = Deployment({'a': 2, 'b': 2}, {'orders': 4, 'patterns': 2}, LANE)
+    context.add_cleanup(deployment.close)
+    deployment.wait_until_ready()
+    context.deployment = deployment
+
+
+def outcomes_of(deployment, port, count=40):
+    """Return the outcomes of some requests on flows of their own."""
+    requests = [deployment.ends.request(port) for _ in range(count)]
+    deadline_s = time.monotonic() + 4
+    while time.monotonic() < deadline_s and not all(one.outcome for one in requests):
+        time.sleep(0.05)
+    return Counter(one.outcome for one in requests)
+
+
+def events_of(deployment):
+    """Return all log lines of all instances."""
+    return [row for host in deployment.hosts for row in deployment.log_rows(host)]
+
+
+@then('requests succeed on all routes')
+def step_requests(context):
+    for port, service in context.deployment.routes.items():
+        assert outcomes_of(context.deployment, port) == {'done': 40}
+        used = [one for one in context.deployment.upstreams if one.service == service]
+        assert all(one.runs for one in used)
+    assert not any(one.misdirected for one in context.deployment.upstreams)
+
+
+@then('an instance that is killed and started again serves')
+def step_killed(context):
+    deployment = context.deployment
+    host = next(iter(deployment.hosts))
+    deployment.processes[host].kill()
+    deployment.processes[host].wait()
+    deployment.start(host)
+    deployment.wait_until_ready()
+    assert outcomes_of(deployment, 443) == {'done': 40}
+
+
+@then('an instance that is asked to stop forwards until it ends')
+def step_stopped(context):
+    deployment = context.deployment
+    host = list(deployment.hosts)[1]
+    deployment.signal(host, signal.SIGTERM)
+    time.sleep(0.3)
+    assert deployment.status(host) == 503
+    assert outcomes_of(deployment, 443) == {'done': 40}
+    assert deployment.processes[host].wait(5) == 0
+    deployment.start(host)
+    deployment.wait_until_ready()
+
+
+@then('a drained upstream gets no new flows')
+def step_drained(context):
+    deployment = context.deployment
+    upstream = deployment.upstreams[0]
+    deployment.drain(upstream.name)
+    time.sleep(CHANGE_S)
+    before = len(upstream.opens)
+    assert outcomes_of(deployment, 443) == {'done': 40}
+    assert len(upstream.opens) == before
+
+
+@then('users of an upstream that died go on elsewhere')
+def step_died(context):
+    deployment = context.deployment
+    ends = deployment.ends
+    flows = [ends.request(443) for _ in range(40)]
+    time.sleep(1)
+    victim = deployment.upstreams[1]
+    token = token_of(victim.name)
+    stuck = [one for one in flows if one.outcome == 'done' and one.token == token]
+    assert stuck
+    ends.kill(victim.name)
+    again = [ends.request(443, one) for one in stuck]
+    time.sleep(2.5)
+    assert {one.outcome for one in again} == {'refused'}
+    assert outcomes_of(deployment, 443) == {'done': 40}
+    assert not ends.foreign_resets
+
+
+@then('an added route serves and a route that is not there is refused')
+def step_routes(context):
+    deployment = context.deployment
+    assert outcomes_of(deployment, 4999, 5) == {'refused': 5}
+    deployment.publish_configuration(4999)
+    time.sleep(CHANGE_S)
+    assert outcomes_of(deployment, 4999) == {'done': 40}
+
+
+@then('a change of the settings file or a hang-up signal ends nothing')
+def step_hang_up(context):
+    deployment = context.deployment
+    for host in deployment.hosts:
+        deployment.signal(host, signal.SIGHUP)
+    time.sleep(0.3)
+    assert all(one.poll() is None for one in deployment.processes.values())
+    assert any(row['event'] == 'reload_asked' for row in events_of(deployment))
+
+
+@then('the metrics page shows the counters and histograms')
+def step_metrics(context):
+    deployment = context.deployment
+    host = next(iter(deployment.hosts))
+    deadline_s = time.monotonic() + 5
+    page = b''
+    while b' 200 ' not in page[:15] and time.monotonic() < deadline_s:
+        page = deployment.fetch(host, METRICS_PORT, '/metrics')
+        time.sleep(0.1)
+    assert b'cardamomtiller_opens_forwarded_total' in page
+    assert b'cardamomtiller_request_ms_bucket{le="5.0"}' in page
+
+
+@then('the log explains each placement and reset')
+def step_log(context):
+    rows = events_of(context.deployment)
+    assert not any(row['event'] == 'defect' for row in rows)
+    placed = [row for row in rows if row['event'] == 'flow_placed']
+    needed = {'flow', 'upstream', 'configuration', 'entry_age_ms', 'candidates', 'cost'}
+    assert placed and all(needed <= row.keys() for row in placed)
+    reset = [row for row in rows if row['event'] == 'flow_reset']
+    assert reset and all(row['reason'] == 'unreachable' for row in reset)
+
+
+@then('an instance whose log is not read still serves and counts what it dropped')
+def step_unread_log(context):
+    reader, writer = os.pipe()
+    log = rig.DecisionLog('test', rig.LogOptions(10_000, 50), lambda: 0.0)
+    os.set_blocking(writer, False)
+    started_s = time.monotonic()
+    for number in range(20_000):
+        log.write('flow_placed', number / 100, flow='x' * 100)
+        if number % 10 == 0:
+            log.flush(writer)
+    assert time.monotonic() - started_s < 5
+    assert log.suppressed > 10_000
+    os.read(reader, 1 << 20)
+    log.flush(writer)
+    log.flush(writer)
+    log.write('flow_placed', 1_000_000)
+    log.flush(writer)
+    assert b'log_suppressed' in os.read(reader, 1 << 20)
+    os.close(reader)
+    os.close(writer)
+
+
+@then('a seeded soak breaks no promise')
+def step_soak(context):
+    findings = Soak(SOAK_SEED, SOAK_S).run()
+    assert not findings.broken, (findings.broken, findings.events)
--- a/tools/packet_deployment.py
+++ b/tools/packet_deployment.py
@@ -18,6 +18,7 @@
 import threading
 import time
 import zlib
+from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -26,6 +27,8 @@
 
 import ujson
 
+from cardamomtiller.forwarding.upstreams import token_of
+from cardamomtiller.ids import UpstreamId
 from tools.standins.store import Store
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -33,10 +36,13 @@
 
 from packets import ACKNOWLEDGING, CLOSING, HEADER, OPENING, RESET  # noqa: E402
 
-CLIENT_HOST = '127.81.0.1'
 ROUTE_HOST = '198.18.0.1'
 PACKET_PORT = 8172
 READY_PORT = 8167
+# Third byte of the addresses of instances, upstreams and links.
+INSTANCE_NETWORK = 10
+UPSTREAM_NETWORK = 100
+LINK_NETWORK = 200
 INNER_PORT = 7720
 UPSTREAM_PORT = 8000
 FRAME_BYTES = 8
@@ -106,8 +112,9 @@
 class Ends:
     """All clients and upstreams, in one thread."""
 
-    def __init__(self, upstreams: list[Upstream]) -> None:
-        """Open the sockets."""
+    def __init__(self, client_host: str, upstreams: list[Upstream]) -> None:
+        """Open the sockets; all clients share one address."""
+        self._client_host = client_host
         self.upstreams = {one.name: one for one in upstreams}
         self.instances: list[str] = []
         self.services: dict[int, str] = {}
@@ -120,7 +127,7 @@
         self._selector = selectors.DefaultSelector()
         self._lock = threading.Lock()
         self._stopped = threading.Event()
-        self._client = self._open_socket((CLIENT_HOST, PACKET_PORT), None)
+        self._client = self._open_socket((client_host, PACKET_PORT), None)
         self._sockets = {
             one.name: self._open_socket((one.host, UPSTREAM_PORT), one)
             for one in upstreams
@@ -240,7 +247,8 @@
         size: int,
     ) -> None:
         datagram = self._packet(flow, flags, token, seq, size)
-        self._sockets[owner.name].sendto(datagram, (CLIENT_HOST, PACKET_PORT))
+        address = (self._client_host, PACKET_PORT)
+        self._sockets[owner.name].sendto(datagram, address)
 
     def _packet(
         self,
@@ -263,7 +271,7 @@
             route_port,
             host_number(ROUTE_HOST),
             port,
-            host_number(CLIENT_HOST),
+            host_number(self._client_host),
         )
 
     def _answer_due(self, now_s: float) -> None:
@@ -271,7 +279,8 @@
         self._due = [one for one in self._due if one[0] > now_s]
         for _, owner, datagram in due:
             if not owner.is_dark:
-                self._sockets[owner.name].sendto(datagram, (CLIENT_HOST, PACKET_PORT))
+                address = (self._client_host, PACKET_PORT)
+                self._sockets[owner.name].sendto(datagram, address)
 
     def _take_at_client(self, datagram: bytes) -> None:
         _, _, total, flags, _, _, token, _, _, port, _ = HEADER.unpack_from(
@@ -301,10 +310,17 @@
             self._finish(attempt, 'done', now_s)
 
     def _is_held(self, attempt: Attempt) -> bool:
-        """Return whether a living upstream holds the flow of an attempt."""
+        """
+        Return whether the upstream of an open flow lives and holds it.
+
+        A repeated opening packet may have opened the flow at another upstream too;
+        the token tells which of them the client uses.
+        """
         flow = (attempt.port, attempt.route_port)
         return attempt.is_open and any(
-            flow in one.flows and not one.is_dark for one in self.upstreams.values()
+            flow in one.flows and not one.is_dark
+            for one in self.upstreams.values()
+            if token_of(UpstreamId(one.name)) == attempt.token
         )
 
     def _finish(self, attempt: Attempt, outcome: str, now_s: float) -> None:
@@ -344,7 +360,7 @@
             len(payload),
             0 if is_opening else attempt.token,
             attempt.port,
-            host_number(CLIENT_HOST),
+            host_number(self._client_host),
             attempt.route_port,
             host_number(ROUTE_HOST),
         )
@@ -354,6 +370,19 @@
             self._client.sendto(datagram + payload, address)
 
 
+class Links(ABC):
+    """Paths between the instances and the store that can be made faulty."""
+
+    @abstractmethod
+    def open(
+        self,
+        host: str,
+        link_host: str,
+        target: tuple[str, int],
+    ) -> tuple[str, int]:
+        """Return the address at which an instance finds the store."""
+
+
 class Deployment:
     """Instances as processes, with the store and the ends."""
 
@@ -361,7 +390,8 @@
         self,
         domains: dict[str, int],
         services: dict[str, int],
-        store_addresses: dict[str, tuple[str, int]] | None = None,
+        lane: int,
+        links: Links | None = None,
     ) -> None:
         """
         Start everything; ``wait_until_ready`` tells when it serves.
@@ -372,23 +402,25 @@
             Number of instances of each failure domain.
         services
             Number of upstreams of each service.
-        store_addresses
-            Where an instance finds the store, if not at the store's own address.
+        lane
+            Second byte of all addresses, so that deployments can run beside each
+            other.
+        links
+            Proxies between the instances and the store.
         """
         self.store = Store(('127.0.0.1', 0))
-        self.store_addresses = store_addresses or {}
         names = list(domains)
         self.upstreams = [
             Upstream(
                 f'i-{index * 100 + number + 1:08x}',
                 service,
                 names[number % len(names)],
-                f'127.83.{index}.{number + 1}',
+                f'127.{lane}.{UPSTREAM_NETWORK + index}.{number + 1}',
             )
             for index, (service, count) in enumerate(services.items())
             for number in range(count)
         ]
-        self.ends = Ends(self.upstreams)
+        self.ends = Ends(f'127.{lane}.1.1', self.upstreams)
         self.routes = {443 + index: service for index, service in enumerate(services)}
         self.ends.services = self.routes
         self._version = 0
@@ -396,10 +428,16 @@
         for upstream in self.upstreams:
             self.store.put(f'servers/{upstream.name}', upstream.entry())
         self.hosts = {
-            f'127.82.{index}.{number + 1}': name
+            f'127.{lane}.{INSTANCE_NETWORK + index}.{number + 1}': name
             for index, (name, count) in enumerate(domains.items())
             for number in range(count)
         }
+        self._store_addresses = {
+            host: links.open(host, f'127.{lane}.{LINK_NETWORK}.1', self.store.address)
+            for host in (self.hosts if links else ())
+            if links
+        }
+        self._lane = lane
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.logs = {host: self._log_path(host) for host in self.hosts}
         for host in self.hosts:
@@ -502,7 +540,7 @@
         self.store.close()
 
     def _settings(self, host: str) -> dict[str, Any]:
-        address, port = self.store_addresses.get(host, self.store.address)
+        address, port = self._store_addresses.get(host, self.store.address)
         return {
             'node_name': f'instance-{host}',
             'ip': host,
@@ -531,6 +569,6 @@
         return path
 
     def _folder(self) -> Path:
-        folder = ROOT / 'build' / 'packet-deployment'
+        folder = ROOT / 'build' / 'packet-deployment' / str(self._lane)
         folder.mkdir(parents=True, exist_ok=True)
         return folder
--- a/tools/packet_soak.py
+++ b/tools/packet_soak.py
@@ -19,14 +19,15 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from tools.packet_deployment import Attempt, Deployment
+from tools.packet_deployment import Attempt, Deployment, Links
 from tools.standins.proxy import Rule, Rules, StreamProxy
 from tools.standins.store import Fault
 
 DOMAINS = {'a': 2, 'b': 2}
 SERVICES = {'orders': 4, 'patterns': 3}
-HOSTS = ('127.82.0.1', '127.82.0.2', '127.82.1.1', '127.82.1.2')
 LINK_PORT = 9100
+FIRST_LANE = 100
+LANES = 100
 # Bounds of the platform: a change is in force, and an instance is in touch again.
 CHANGE_S = 3.0
 TOUCH_S = 4.0
@@ -46,24 +47,30 @@
     broken: list[str] = field(default_factory=list)
 
 
-class Links:
+class ProxyLinks(Links):
     """Proxies between each instance and the store, in an event loop of their own."""
 
     def __init__(self, seed: int) -> None:
         """Start the loop; ``open`` connects it to a store."""
         self._loop = asyncio.new_event_loop()
+        # Connections are cut on purpose; their errors say nothing.
+        self._loop.set_exception_handler(lambda *_: None)
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
         self._rules = self._call(self._make_rules(seed))
+        self._opened = 0
 
     def open(
         self,
-        addresses: dict[str, tuple[str, int]],
+        host: str,
+        link_host: str,
         target: tuple[str, int],
-    ) -> None:
-        """Listen for each instance on an address of its own."""
-        for host, address in addresses.items():
-            self._call(self._listen(host, address, target))
+    ) -> tuple[str, int]:
+        """Listen for an instance on an address of its own."""
+        self._opened += 1
+        address = (link_host, LINK_PORT + self._opened)
+        self._call(self._listen(host, address, target))
+        return address
 
     def set(self, host: str, rule: Rule) -> None:
         """Make the paths of a rule faulty."""
@@ -111,19 +118,12 @@
         self.findings = Findings(seed)
         self._random = Random(seed)
         self._seconds = seconds
-        self._links = Links(seed)
+        self._links = ProxyLinks(seed)
         # Each seed of a series has addresses of its own.
-        link_host = f'127.84.{seed % 250}.1'
-        addresses = {
-            host: (link_host, LINK_PORT + number) for number, host in enumerate(HOSTS)
-        }
-        self._deployment = Deployment(DOMAINS, SERVICES, addresses)
-        try:
-            self._links.open(addresses, self._deployment.store.address)
-        except OSError:
-            self._deployment.close()
-            raise
-        self._disturbed_s = dict.fromkeys(HOSTS, 0.0)
+        lane = FIRST_LANE + seed % LANES
+        self._deployment = Deployment(DOMAINS, SERVICES, lane, self._links)
+        self._hosts = tuple(self._deployment.hosts)
+        self._disturbed_s = dict.fromkeys(self._hosts, 0.0)
         self._drained_s: dict[str, float] = {}
         self._later: list[tuple[float, Callable[[], None]]] = []
         self._long: list[Attempt] = []
@@ -200,7 +200,7 @@
         self._later.append((time.monotonic() + delay_s, action))
 
     def _pick_host(self) -> str:
-        return self._random.choice(HOSTS)
+        return self._random.choice(self._hosts)
 
     def _kill(self) -> None:
         host = self._pick_host()
@@ -247,7 +247,7 @@
         for_s = self._random.uniform(0.3, 3)
         self._note(f'store {fault.value} {for_s:.1f} s')
         store.fault = fault
-        for host in HOSTS:
+        for host in self._hosts:
             self._disturb(host, for_s)
         self._in(for_s, lambda: setattr(store, 'fault', Fault.NONE))
 
@@ -313,14 +313,14 @@
         for _, action in sorted(self._later, key=lambda row: row[0]):
             action()
         self._later.clear()
-        for host in HOSTS:
+        for host in self._hosts:
             self._deployment.signal(host, signal.SIGCONT)
         self._deployment.publish_configuration(EXTRA_PORT)
 
     def _check_calm(self) -> None:
         """All instances serve, and every request succeeds, on the new route too."""
         ends = self._deployment.ends
-        for host in HOSTS:
+        for host in self._hosts:
             self._require(self._deployment.status(host) == 200, f'{host} is not ready')
         calm = [
             ends.request(port)
@@ -346,7 +346,7 @@
                     self._require(not in_touch, f'{one.name} drains and got a flow')
 
     def _check_logs(self) -> None:
-        for host in HOSTS:
+        for host in self._hosts:
             events = Counter(row['event'] for row in self._deployment.log_rows(host))
             self._require(not events['defect'], f'{host} logged a defect')
             code = self._deployment.processes[host].poll()
--- a/tools/standins/store.py
+++ b/tools/standins/store.py
@@ -54,8 +54,11 @@
             disable_nagle_algorithm = True
 
             def do_GET(self) -> None:
-                """Answer one call."""
-                store.answer(self)
+                """Answer one call; the caller may have gone meanwhile."""
+                try:
+                    store.answer(self)
+                except ConnectionError:
+                    self.close_connection = True
 
             def log_message(self, *_: object) -> None:
                 """Write no access log."""
