--- a/src/cardamomtiller/forwarding/load.py
+++ b/src/cardamomtiller/forwarding/load.py
@@ -9,8 +9,10 @@
 
 # Time in which the weight of an unanswered request falls to a third.
 TROUBLE_DECAY_MS = 3000.0
-# Weight of the newest service time in the running mean.
-SERVICE_TIME_GAIN = 0.1
+# Weight of the newest latency in the running mean.
+LATENCY_GAIN = 0.1
+# An upstream that was slow gets flows again after this time without an answer.
+LATENCY_KEPT_MS = 3000.0
 
 
 class SilenceOptions(NamedTuple):
@@ -50,13 +52,14 @@
         '_measured_ms',
         '_trouble',
         '_trouble_ms',
+        'answered_ms',
         'heard_ms',
         'in_progress',
         'mean_busy',
+        'mean_latency_ms',
         'open_flows',
         'others_busy',
         'others_trouble',
-        'service_ms',
         'silent_flows',
         'silent_opens',
         'silent_since_ms',
@@ -71,7 +74,8 @@
         self.others_busy: float = 0
         self.others_trouble: float = 0
         self.heard_ms: float | None = None
-        self.service_ms: float | None = None
+        self.mean_latency_ms: float | None = None
+        self.answered_ms: float = 0
         self.silent_opens = 0
         self.silent_flows = 0
         self.silent_since_ms: float | None = None
@@ -104,6 +108,19 @@
         self._busy_total_ms += self.in_progress * (now_ms - self._busy_since_ms)
         self._busy_since_ms = now_ms
 
+    def take_latency(self, latency_ms: float, now_ms: float) -> None:
+        """Update the mean latency by one answer."""
+        mean_ms = self.latency_ms(now_ms)
+        if mean_ms is None:
+            mean_ms = latency_ms
+        self.mean_latency_ms = mean_ms + LATENCY_GAIN * (latency_ms - mean_ms)
+        self.answered_ms = now_ms
+
+    def latency_ms(self, now_ms: float) -> float | None:
+        """Return the mean latency, None if it is unknown or too old."""
+        is_old = now_ms - self.answered_ms > LATENCY_KEPT_MS
+        return None if is_old else self.mean_latency_ms
+
     def add_trouble(self, now_ms: float) -> None:
         """Record a request that the upstream has left unanswered for long."""
         self._trouble = self.trouble(now_ms) + 1
@@ -198,9 +215,5 @@
             return None
         self.finish(flow, now_ms)
         elapsed_ms = now_ms - started_ms
-        mean_ms = load.service_ms
-        if mean_ms is None:
-            load.service_ms = elapsed_ms
-        else:
-            load.service_ms = mean_ms + SERVICE_TIME_GAIN * (elapsed_ms - mean_ms)
+        load.take_latency(elapsed_ms, now_ms)
         return elapsed_ms
--- a/src/cardamomtiller/forwarding/options.py
+++ b/src/cardamomtiller/forwarding/options.py
@@ -49,6 +49,7 @@
 DEFAULT_PLACEMENT = PlacementOptions(
     idle_flow=0.05,
     others_busy=0.1,
+    latency=0.1,
     trouble=0.1,
     remote=0.34,
     cold=0.7,
--- a/src/cardamomtiller/forwarding/placement.py
+++ b/src/cardamomtiller/forwarding/placement.py
@@ -15,6 +15,8 @@
 
 MIX_MULTIPLIER = 0x9E3779B1
 MIX_MASK = 0xFFFFFFFF
+LEAST_LATENCY_MS = 1.0
+LARGEST_LATENCY_RATIO = 10.0
 
 
 class PlacementOptions(NamedTuple):
@@ -29,6 +31,8 @@
         Weight of a request of another instance. Reports are older than the own
         counts; with the full weight, all instances would choose the same upstream
         until the next reports.
+    latency
+        Of a mean latency that is twice the least one of the pool.
     trouble
         Of a request that the upstream has lately left unanswered for long.
     remote
@@ -43,6 +47,7 @@
 
     idle_flow: float
     others_busy: float
+    latency: float
     trouble: float
     remote: float
     cold: float
@@ -101,8 +106,14 @@
     if not candidates:
         return None
     eligible = _eligible(candidates, reachability, excluded)
+    least_ms = least_latency_ms((loads.of(one.token) for one in eligible), now_ms)
     ranked = [
-        Candidate(one, load, cost_of(one, load, reachability, domain, options, now_ms))
+        Candidate(
+            one,
+            load,
+            cost_of(one, load, reachability, domain, options, now_ms)
+            + latency_cost_of(load, least_ms, options, now_ms),
+        )
         for one, load in _with_loads(eligible, loads)
     ]
     best = min(ranked, key=lambda one: (one.cost, _order(one, hashed)))
@@ -152,6 +163,26 @@
     return cost
 
 
+def least_latency_ms(loads: Iterable[UpstreamLoad], now_ms: float) -> float | None:
+    """Return the least mean latency of some upstreams, None if none is known."""
+    latencies = (load.latency_ms(now_ms) for load in loads)
+    return min((one for one in latencies if one is not None), default=None)
+
+
+def latency_cost_of(
+    load: UpstreamLoad,
+    least_ms: float | None,
+    options: PlacementOptions,
+    now_ms: float,
+) -> float:
+    """Return the cost of an upstream that answers later than the fastest one."""
+    latency_ms = load.latency_ms(now_ms)
+    if least_ms is None or latency_ms is None:
+        return 0
+    ratio = latency_ms / max(least_ms, LEAST_LATENCY_MS)
+    return options.latency * min(max(ratio - 1, 0), LARGEST_LATENCY_RATIO)
+
+
 def _eligible(
     candidates: list[Upstream],
     reachability: Reachability,
--- a/tests/forwarding_rig.py
+++ b/tests/forwarding_rig.py
@@ -127,10 +127,15 @@
     return Configuration(Version(version), by_address, 12_000)
 
 
-def make_forwarder(names=('u-1', 'u-2', 'u-3'), options=DEFAULT_FORWARDING):
+def make_forwarder(
+    names=('u-1', 'u-2', 'u-3'),
+    options=DEFAULT_FORWARDING,
+    policy=Forwarder,
+    domain=HOME,
+):
     """Return a forwarder with a configuration and some upstreams."""
     log = DecisionLog('test', LogOptions(10_000, 10_000), lambda: 0.0)
-    made = Forwarder(HOME, HeaderFormat(), CLIENT_PORT, options, log, Meters())
+    made = policy(domain, HeaderFormat(), CLIENT_PORT, options, log, Meters())
     made.take_configuration(configuration(), 0)
     for name in names:
         made.take_entry(entry(name), 0)
