Let users of a cut failure domain return as fast as there are slots

Flows are now reset at once while the reachable rest of the pool is below nine tenths of its slots, and after two retransmissions in any case, so that nobody waits until the deadline.

--- a/src/cardamomtiller/forwarding/forwarder.py
+++ b/src/cardamomtiller/forwarding/forwarder.py
@@ -245,12 +245,38 @@
             return
         self._observe(packet, upstream, now_ms)
         if packet.payload_bytes and self._is_unreachable(upstream):
-            self._log_reset(packet, upstream, 'unreachable', now_ms)
-            yield self._reset(packet)
-            return
+            if self._has_waited(packet.flow) or self._has_room(upstream):
+                self._log_reset(packet, upstream, 'unreachable', now_ms)
+                yield self._reset(packet)
+                return
+            # The client sends the packet again and is let go when there is room.
+            self._meters.count('resets_held')
         self._meters.count('packets_forwarded')
         yield _to_upstream(upstream, datagram)
 
+    def _has_waited(self, key: FlowKey) -> bool:
+        flow = self._flows.find(key)
+        return flow is None or flow.retransmissions >= self._options.held_resets
+
+    def _has_room(self, gone: Upstream) -> bool:
+        """
+        Return whether the rest of a pool can take the flows of a gone upstream.
+
+        The load this answers: a failure domain that is cut off at the crest of a
+        swing. Its upstreams would get the users of all others at once, and everybody
+        would be late; so users return as fast as there are slots, and after two
+        retransmissions in any case.
+        """
+        pool = [
+            one
+            for one in self.directory.pool(gone.entry.service)
+            if not self._is_unreachable(one)
+        ]
+        loads = [self.loads.of(one.token) for one in pool]
+        busy = sum(load.in_progress + load.others_busy for load in loads)
+        slots = sum(one.entry.slots for one in pool)
+        return busy < self._options.room * slots
+
     def _refuse_unknown(self, packet: Packet, now_ms: float) -> Iterator[Delivery]:
         """Drop a packet whose upstream is unknown, or reset its flow if it is gone."""
         self._drop(DropReason.UNKNOWN_TOKEN, packet, now_ms)
--- a/src/cardamomtiller/forwarding/options.py
+++ b/src/cardamomtiller/forwarding/options.py
@@ -28,6 +28,11 @@
     neighbour_ms
         Time without a sign of life after which an upstream is suspected because
         another one of its failure domain is unreachable.
+    room
+        Utilisation of the rest of a pool below which flows of an unreachable
+        upstream are reset at once.
+    held_resets
+        Retransmissions after which they are reset in any case.
     suspicious_trouble
         Unanswered requests of other instances that are a suspicion.
     unknown_ms
@@ -41,6 +46,8 @@
     departed_kept_ms: float
     suspicious_flows: int
     neighbour_ms: float
+    room: float
+    held_resets: int
     suspicious_trouble: float
     unknown_ms: float
 
@@ -66,6 +73,8 @@
     departed_kept_ms=60_000,
     suspicious_flows=2,
     neighbour_ms=300,
+    room=0.9,
+    held_resets=2,
     suspicious_trouble=1.5,
     unknown_ms=2500,
 )
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -284,6 +284,41 @@
     assert set(forwarder.reachability.suspected()) == expected
 
 
+def make_gone(forwarder):
+    """Open two flows at one upstream and let it be unreachable; return both."""
+    ports = {}
+    for port in range(1000, 1010):
+        ports.setdefault(rig.open_flow(forwarder, port), []).append(port)
+    token, (first, second, *_) = max(ports.items(), key=lambda row: len(row[1]))
+    for port in range(1000, 1010):
+        rig.handle(forwarder, rig.closing(port, token=token), 10)
+    for port in (first, second):
+        rig.handle(forwarder, rig.packet(port, seq=90, ack=500, token=token), 20)
+    forwarder.reachability.give_up(token, 'test', 30)
+    return token, first
+
+
+@then('users return at once while the rest of the pool has room')
+def step_room(context):
+    forwarder = rig.make_forwarder()
+    token, port = make_gone(forwarder)
+    (delivery,) = rig.handle(forwarder, retransmission(port, token), 100)
+    assert rig.is_reset(delivery)
+
+
+@then('users of a busy pool return after two retransmissions at the latest')
+def step_no_room(context):
+    forwarder = rig.make_forwarder()
+    token, port = make_gone(forwarder)
+    for busy in range(2000, 2004):
+        rig.open_flow(forwarder, busy, 50)
+    answers = [
+        rig.handle(forwarder, retransmission(port, token), at_ms)[0]
+        for at_ms in (100, 300, 700)
+    ]
+    assert [rig.is_reset(answer) for answer in answers] == [False, False, True]
+
+
 def observe(flow, seq, now_ms):
     """Let a flow see a packet with payload."""
     packet = rig.HeaderFormat().decode(rig.packet(1000, seq=seq, ack=500, size=40))
