--- a/src/cardamomtiller/forwarding/node.py
+++ b/src/cardamomtiller/forwarding/node.py
@@ -170,7 +170,7 @@
             options,
             self._answer_health_check,
             self._picture,
-            self._forwarder.loads,
+            self._forwarder.observer.loads,
             self._log,
             self._meters,
             self._poller,
@@ -203,7 +203,7 @@
                     address=f'{delivery.address[0]}:{delivery.address[1]}',
                     error=str(error),
                 )
-        if self._forwarder.reachability.is_probe_due:
+        if self._forwarder.observer.reachability.is_probe_due:
             self._probe(now_ms)
 
     def _received(self) -> Iterator[bytes]:
@@ -221,7 +221,7 @@
     def _probe(self, now_ms: float) -> None:
         for token, result in self._prober.expire(now_ms):
             self._take_probe(token, result)
-        for token in self._forwarder.reachability.due_probes(now_ms):
+        for token in self._forwarder.observer.reachability.due_probes(now_ms):
             upstream = self._forwarder.directory.by_token(token)
             if upstream is None:
                 continue
@@ -232,9 +232,9 @@
 
     def _take_probe(self, token: Token, result: ProbeResult) -> None:
         now_ms = steady_ms()
-        change = self._forwarder.reachability.take_probe(token, result, now_ms)
+        change = self._forwarder.observer.reachability.take_probe(token, result, now_ms)
         if change is not None:
-            self._forwarder.take_reachability(change, now_ms)
+            self._forwarder.observer.take_reachability(change, now_ms)
 
     def _take_readings(self) -> None:
         before = self._picture.revision
--- /dev/null
+++ b/src/cardamomtiller/forwarding/reporting.py
@@ -0,0 +1,186 @@
+"""Log lines and counters of the forwarding decisions."""
+
+from enum import Enum
+
+from cardamomtiller.forwarding.configuration import Configuration, Route
+from cardamomtiller.forwarding.decisionlog import DecisionLog
+from cardamomtiller.forwarding.meters import Meters
+from cardamomtiller.forwarding.packet import Packet, flow_text
+from cardamomtiller.forwarding.placement import Choice
+from cardamomtiller.forwarding.reachability import Change
+from cardamomtiller.forwarding.upstreams import Upstream
+from cardamomtiller.ids import Version
+
+
+class DropReason(Enum):
+    """Why a packet went nowhere."""
+
+    MALFORMED = 'malformed'
+    NOT_CONFIGURED = 'not_configured'
+    NO_ROUTE = 'no_route'
+    NO_UPSTREAM = 'no_upstream'
+    UNKNOWN_TOKEN = 'unknown_token'
+
+
+class ResetReason(Enum):
+    """Why the flow of a client was reset."""
+
+    UNREACHABLE = 'unreachable'
+    UPSTREAM_GONE = 'upstream_gone'
+
+
+class Reporter:
+    """Writes one line for each decision, with what decided it."""
+
+    def __init__(self, log: DecisionLog, meters: Meters) -> None:
+        """Write to a log and count in meters."""
+        self._log = log
+        self.meters = meters
+
+    def configuration_taken(
+        self,
+        configuration: Configuration,
+        before: Version,
+        now_ms: float,
+    ) -> None:
+        """Report a configuration that is in force now."""
+        self._log.write(
+            'configuration_in_force',
+            now_ms,
+            version=configuration.version,
+            before=before,
+            routes=len(configuration.routes),
+        )
+
+    def configuration_ignored(
+        self,
+        configuration: Configuration,
+        in_force: Version,
+        now_ms: float,
+    ) -> None:
+        """Report a configuration that is older than the one in force."""
+        self.meters.count('configuration_older')
+        self._log.write(
+            'configuration_ignored',
+            now_ms,
+            version=configuration.version,
+            in_force=in_force,
+        )
+
+    def upstream_changed(self, upstream: Upstream, event: str, now_ms: float) -> None:
+        """Report what became known of an upstream."""
+        entry = upstream.entry
+        self.meters.count(f'upstreams_{event}')
+        self._log.write(
+            f'upstream_{event}',
+            now_ms,
+            upstream=entry.upstream,
+            service=entry.service,
+            domain=entry.domain,
+            state=upstream.state.value,
+            slots=entry.slots,
+            slow_start_left_ms=entry.slow_start_left_ms,
+        )
+
+    def suspected(
+        self,
+        upstream: Upstream,
+        evidence: str,
+        heard_ms: float | None,
+        now_ms: float,
+    ) -> None:
+        """Report that an upstream is suspected, and is about to be probed."""
+        self.meters.count('upstreams_suspected')
+        self._log.write(
+            'upstream_suspected',
+            now_ms,
+            upstream=upstream.entry.upstream,
+            reason=evidence,
+            heard_before_ms=None if heard_ms is None else round(now_ms - heard_ms),
+        )
+
+    def reachability_changed(
+        self,
+        change: Change,
+        upstream: Upstream | None,
+        now_ms: float,
+    ) -> None:
+        """Report that an upstream became reachable or unreachable."""
+        self.meters.count(f'upstreams_{change.verdict.value}')
+        self._log.write(
+            f'upstream_{change.verdict.value}',
+            now_ms,
+            upstream=upstream.entry.upstream if upstream else None,
+            reason=change.reason,
+            after_ms=round(change.suspected_for_ms),
+        )
+
+    def placed(
+        self,
+        packet: Packet,
+        route: Route,
+        choice: Choice,
+        version: Version,
+        now_ms: float,
+    ) -> None:
+        """Report the upstream of a new flow."""
+        self.meters.count('opens_forwarded')
+        entry = choice.upstream.entry
+        self._log.write(
+            'flow_placed',
+            now_ms,
+            flow=flow_text(packet.flow),
+            copy=packet.copy,
+            route=route.name,
+            service=entry.service,
+            upstream=entry.upstream,
+            domain=entry.domain,
+            cost=round(choice.cost, 3),
+            in_progress=choice.in_progress,
+            others_busy=round(choice.others_busy, 2),
+            open_flows=choice.open_flows,
+            candidates=choice.candidates,
+            entry_age_ms=round(now_ms - choice.upstream.changed_ms),
+            configuration=version,
+        )
+
+    def dropped(
+        self,
+        reason: DropReason,
+        packet: Packet | None,
+        version: Version,
+        now_ms: float,
+    ) -> None:
+        """Report a packet that was not forwarded."""
+        self.meters.count(f'dropped_{reason.value}')
+        self._log.write(
+            'packet_refused',
+            now_ms,
+            reason=reason.value,
+            flow=flow_text(packet.flow) if packet else None,
+            is_opening=packet.is_opening if packet else None,
+            token=packet.token if packet else None,
+            configuration=version,
+        )
+
+    def reset(
+        self,
+        packet: Packet,
+        upstream: Upstream | None,
+        reason: ResetReason,
+        steady_for_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Report a flow that was reset."""
+        self.meters.count('flows_reset')
+        self._log.write(
+            'flow_reset',
+            now_ms,
+            flow=flow_text(packet.flow),
+            upstream=upstream.entry.upstream if upstream else None,
+            token=packet.token,
+            reason=reason.value,
+            state=upstream.state.value if upstream else None,
+            entry_age_ms=round(now_ms - upstream.changed_ms) if upstream else None,
+            picture_steady_ms=round(steady_for_ms),
+        )
--- a/tests/features/steps/forwarding_fleet_steps.py
+++ b/tests/features/steps/forwarding_fleet_steps.py
@@ -64,7 +64,9 @@
 def make_picture():
     """Return a forwarder without upstreams, and its picture."""
     forwarder = rig.make_forwarder(())
-    return forwarder, Picture(forwarder, Decoder(), forwarder._log, forwarder._meters)
+    return forwarder, Picture(
+        forwarder, Decoder(), forwarder._reporter._log, forwarder._reporter.meters
+    )
 
 
 def listed(picture, names, revision=10):
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -173,8 +173,8 @@
 def probe(forwarder, token, now_ms, *results):
     """Answer the due probes of a token with some results."""
     for result in results:
-        assert token in list(forwarder.reachability.due_probes(now_ms))
-        forwarder.reachability.take_probe(token, result, now_ms)
+        assert token in list(forwarder.observer.reachability.due_probes(now_ms))
+        forwarder.observer.reachability.take_probe(token, result, now_ms)
 
 
 def retransmission(port, token):
@@ -187,7 +187,7 @@
     forwarder = rig.make_forwarder()
     token = rig.open_flow(forwarder, 1000)
     make_silent(forwarder, 1000, token, 1000)
-    assert forwarder.reachability.verdict(token) is Verdict.SUSPECTED
+    assert forwarder.observer.reachability.verdict(token) is Verdict.SUSPECTED
     probe(forwarder, token, 1700, ProbeResult.TIMED_OUT, ProbeResult.CONNECTED)
     (delivery,) = rig.handle(forwarder, retransmission(1000, token), 1800)
     assert not rig.is_reset(delivery)
@@ -248,7 +248,7 @@
     token = rig.open_flow(forwarder, 1000)
     make_silent(forwarder, 1000, token, 1000)
     probe(forwarder, token, 1700, ProbeResult.TIMED_OUT, ProbeResult.TIMED_OUT)
-    assert forwarder.reachability.verdict(token) is Verdict.UNREACHABLE
+    assert forwarder.observer.reachability.verdict(token) is Verdict.UNREACHABLE
     return token
 
 
@@ -276,12 +276,12 @@
     forwarder.take_entry(rig.entry('x-1', domain='b'), 0)
     token = rig.open_flow(forwarder, 1000)
     make_silent(forwarder, 1000, token, 1000)
-    list(forwarder.reachability.due_probes(1700))
+    list(forwarder.observer.reachability.due_probes(1700))
     refused = ProbeResult.REFUSED
-    change = forwarder.reachability.take_probe(token, refused, 1700)
-    forwarder.take_reachability(change, 1700)
+    change = forwarder.observer.reachability.take_probe(token, refused, 1700)
+    forwarder.observer.take_reachability(change, 1700)
     expected = {token_of(UpstreamId(name)) for name in ('u-1', 'u-2', 'u-3')}
-    assert set(forwarder.reachability.suspected()) == expected
+    assert set(forwarder.observer.reachability.suspected()) == expected
 
 
 def make_gone(forwarder):
@@ -294,7 +294,7 @@
         rig.handle(forwarder, rig.closing(port, token=token), 10)
     for port in (first, second):
         rig.handle(forwarder, rig.packet(port, seq=90, ack=500, token=token), 20)
-    forwarder.reachability.give_up(token, 'test', 30)
+    forwarder.observer.reachability.give_up(token, 'test', 30)
     return token, first
 
 
@@ -364,8 +364,8 @@
     for port in range(1000, 3000):
         rig.open_flow(forwarder, port)
     forwarder.sweep(1)
-    assert forwarder._meters.gauges['flows'] == 50
-    assert sum(load.open_flows for _, load in forwarder.loads) == 50
+    assert forwarder._reporter.meters.gauges['flows'] == 50
+    assert sum(load.open_flows for _, load in forwarder.observer.loads) == 50
 
 
 @then('flows that have been idle for long are forgotten')
@@ -374,8 +374,8 @@
     for port in range(1000, 1100):
         rig.open_flow(forwarder, port)
     forwarder.sweep(DEFAULT_FORWARDING.flows.idle_ms + 1)
-    assert forwarder._meters.gauges['flows'] == 0
-    assert all(load.in_progress == 0 for _, load in forwarder.loads)
+    assert forwarder._reporter.meters.gauges['flows'] == 0
+    assert all(load.in_progress == 0 for _, load in forwarder.observer.loads)
 
 
 @then('random datagrams are dropped or forwarded without an error')
--- a/tools/forwarding_replay.py
+++ b/tools/forwarding_replay.py
@@ -104,7 +104,7 @@
         hashed = hash_flow(packet.flow)
         pool = self.directory.pool(route.service_of(hashed))
         drawn = (pool[hashed % len(pool)], pool[hashed // 7919 % len(pool)])
-        best = min(drawn, key=lambda one: self.loads.of(one.token).in_progress)
+        best = min(drawn, key=lambda one: self.observer.loads.of(one.token).in_progress)
         return Choice(best, 0, 0, 0, 0, len(pool))
 
 
@@ -166,7 +166,9 @@
             )
             self._forwarders.append(forwarder)
             self._members.append(me)
-            self._sharing.append(LoadSharing(me, forwarder.loads, DEFAULT_SHARING))
+            self._sharing.append(
+                LoadSharing(me, forwarder.observer.loads, DEFAULT_SHARING)
+            )
         self._is_shared = is_shared
         self._long_flows: dict[int, int] = {}
         self._tokens: dict[int, int] = {}
--- a/tools/packet_deployment.py
+++ b/tools/packet_deployment.py
@@ -120,7 +120,10 @@
         self.services: dict[int, str] = {}
         self.attempts: dict[int, Attempt] = {}
         self.finished: list[Attempt] = []
+        # Resets of instances on open flows: of a living upstream, and of a dead one
+        # whose flow a repeated opening packet had opened at a living one too.
         self.foreign_resets = 0
+        self.copied_resets = 0
         self._numbers = itertools.count(1)
         self._ports = itertools.count(1024)
         self._due: list[tuple[float, Upstream, bytes]] = []
@@ -292,8 +295,8 @@
             return
         now_s = time.monotonic()
         if flags & RESET:
-            if not total and self._is_held(attempt):
-                self.foreign_resets += 1
+            if not total and attempt.is_open:
+                self._count_reset(attempt)
             self._finish(attempt, 'reset' if total else 'refused', now_s)
         elif flags & OPENING:
             if not attempt.is_open:
@@ -309,19 +312,21 @@
             self._send(attempt, ACKNOWLEDGING, b'')
             self._finish(attempt, 'done', now_s)
 
-    def _is_held(self, attempt: Attempt) -> bool:
+    def _count_reset(self, attempt: Attempt) -> None:
         """
-        Return whether the upstream of an open flow lives and holds it.
+        Count a reset of an instance if a living upstream holds the flow.
 
         A repeated opening packet may have opened the flow at another upstream too;
         the token tells which of them the client uses.
         """
         flow = (attempt.port, attempt.route_port)
-        return attempt.is_open and any(
-            flow in one.flows and not one.is_dark
-            for one in self.upstreams.values()
-            if token_of(UpstreamId(one.name)) == attempt.token
-        )
+        for one in self.upstreams.values():
+            if flow not in one.flows or one.is_dark:
+                continue
+            if token_of(UpstreamId(one.name)) == attempt.token:
+                self.foreign_resets += 1
+            else:
+                self.copied_resets += 1
 
     def _finish(self, attempt: Attempt, outcome: str, now_s: float) -> None:
         attempt.outcome = outcome
--- a/tools/packet_soak.py
+++ b/tools/packet_soak.py
@@ -143,9 +143,9 @@
         finally:
             self._deployment.close()
             self._links.close()
-        self.findings.outcomes = Counter(
-            one.outcome for one in self._deployment.ends.finished
-        )
+        ends = self._deployment.ends
+        self.findings.outcomes = Counter(one.outcome for one in ends.finished)
+        self.findings.outcomes['copied resets'] = ends.copied_resets
         return self.findings
 
     def _serve(self, seconds: float, events: Iterator[Callable[[], None]]) -> None:
