Bound the work of an opening packet and of a tick

An opening packet of a pool of 3,500 upstreams took 16 ms, and each tick looked at every flow. Flows of large pools now choose between 32 upstreams, half of them near, and requests that run too long are found by age.

--- a/src/cardamomtiller/forwarding/flows.py
+++ b/src/cardamomtiller/forwarding/flows.py
@@ -157,14 +157,6 @@
                 return
             yield self._flows.pop(key)
 
-    def stalled(self, now_ms: float) -> Iterator[Flow]:
-        """Iterate over flows whose request runs for longer than is plausible."""
-        for flow in self._flows.values():
-            started_ms = flow.started_ms
-            if started_ms is not None:
-                if now_ms - started_ms > self._options.request_ms:
-                    yield flow
-
 
 def is_after(position: int, other: int) -> bool:
     """Return whether a sequence position is after another, modulo 2**32."""
--- a/src/cardamomtiller/forwarding/forwarder.py
+++ b/src/cardamomtiller/forwarding/forwarder.py
@@ -18,7 +18,7 @@
     PacketFormat,
     address_text,
 )
-from cardamomtiller.forwarding.placement import Choice, choose
+from cardamomtiller.forwarding.placement import Choice, choose, sample
 from cardamomtiller.forwarding.reporting import DropReason, Reporter, ResetReason
 from cardamomtiller.forwarding.unknowntokens import UnknownTokens
 from cardamomtiller.forwarding.upstreams import (
@@ -146,12 +146,14 @@
     def _place(self, packet: Packet, route: Route, now_ms: float) -> Choice | None:
         hashed = hash_flow(packet.flow)
         excluded = self.observer.miss_open(packet, now_ms)
+        placement = self._options.placement
+        pool = self.directory.pool(route.service_of(hashed))
         return choose(
-            self.directory.pool(route.service_of(hashed)),
+            sample(pool, self._domain, placement.candidates, hashed),
             self.observer.loads,
             self.observer.reachability,
             self._domain,
-            self._options.placement,
+            placement,
             hashed,
             now_ms,
             excluded,
--- a/src/cardamomtiller/forwarding/load.py
+++ b/src/cardamomtiller/forwarding/load.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.flows import Flow
-from cardamomtiller.forwarding.packet import Token
+from cardamomtiller.forwarding.packet import FlowKey, Token
 
 # Time in which the weight of an unanswered request falls to a third.
 TROUBLE_DECAY_MS = 3000.0
@@ -165,6 +165,8 @@
     def __init__(self) -> None:
         """Start with no upstreams."""
         self._loads: dict[Token, UpstreamLoad] = {}
+        # Flows with a request in progress, the oldest request first.
+        self._running: dict[FlowKey, Flow] = {}
 
     def __iter__(self) -> Iterator[tuple[Token, UpstreamLoad]]:
         """Iterate over all upstreams."""
@@ -179,6 +181,8 @@
 
     def keep_only(self, present: set[Token]) -> None:
         """Forget upstreams that are no longer known."""
+        if len(self._loads) <= len(present):
+            return
         for token in self._loads.keys() - present:
             del self._loads[token]
 
@@ -198,14 +202,24 @@
             self.of(flow.upstream.token).change_in_progress(1, now_ms)
         flow.started_ms = now_ms
         flow.requests += 1
+        self._running.pop(flow.key, None)
+        self._running[flow.key] = flow
 
     def finish(self, flow: Flow, now_ms: float) -> None:
         """Stop counting the request of a flow."""
         if flow.started_ms is None:
             return
         flow.started_ms = None
+        self._running.pop(flow.key, None)
         self.of(flow.upstream.token).change_in_progress(-1, now_ms)
 
+    def finish_stalled(self, longest_ms: float, now_ms: float) -> None:
+        """Stop counting requests that run for longer than is plausible."""
+        for flow in tuple(self._running.values()):
+            if flow.started_ms is None or now_ms - flow.started_ms <= longest_ms:
+                return
+            self.finish(flow, now_ms)
+
     def answer(self, flow: Flow, now_ms: float) -> float | None:
         """Record an answer; return how long the request took, if one was open."""
         load = self.of(flow.upstream.token)
--- a/src/cardamomtiller/forwarding/observing.py
+++ b/src/cardamomtiller/forwarding/observing.py
@@ -93,8 +93,7 @@
                     self._suspect(upstream, 'reported', now_ms)
         for idle in self._flows.take_idle(now_ms):
             self.loads.detach(idle, now_ms)
-        for stalled in tuple(self._flows.stalled(now_ms)):
-            self.loads.finish(stalled, now_ms)
+        self.loads.finish_stalled(self._options.flows.request_ms, now_ms)
         self.loads.keep_only({one.token for one in self._directory})
         self._reporter.meters.gauge('flows', len(self._flows))
 
--- a/src/cardamomtiller/forwarding/options.py
+++ b/src/cardamomtiller/forwarding/options.py
@@ -63,6 +63,7 @@
     missing=2.0,
     silent=8.0,
     silence=DEFAULT_SILENCE,
+    candidates=32,
 )
 DEFAULT_FLOWS = FlowOptions(capacity=100_000, idle_ms=15_000, request_ms=600)
 DEFAULT_FORWARDING = ForwardingOptions(
--- a/src/cardamomtiller/forwarding/placement.py
+++ b/src/cardamomtiller/forwarding/placement.py
@@ -5,7 +5,8 @@
 upstream fails, when new flows must not go to it.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
+from itertools import cycle, islice
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.load import LoadBook, SilenceOptions, UpstreamLoad
@@ -15,6 +16,7 @@
 
 MIX_MULTIPLIER = 0x9E3779B1
 MIX_MASK = 0xFFFFFFFF
+HASH_SHIFT = 16
 LEAST_LATENCY_MS = 1.0
 LARGEST_LATENCY_RATIO = 10.0
 
@@ -41,6 +43,8 @@
         Of an upstream that has just started and is still slow.
     missing
         Of an upstream whose entry has just disappeared.
+    candidates
+        Upstreams of a large pool that a flow chooses between.
     silent
         Of an upstream that does not answer, or that cannot be reached.
     """
@@ -54,6 +58,7 @@
     missing: float
     silent: float
     silence: SilenceOptions
+    candidates: int
 
 
 class Choice(NamedTuple):
@@ -67,6 +72,31 @@
     candidates: int
 
 
+def sample(
+    pool: Sequence[Upstream],
+    domain: DomainName,
+    limit: int,
+    hashed: int,
+) -> list[Upstream]:
+    """
+    Return the upstreams of a large pool that a flow chooses between.
+
+    Bounds the work of an opening packet. Half of the sample or more is of the own
+    failure domain if it has as many; flows start at different places of the pool.
+    """
+    if len(pool) <= limit:
+        return list(pool)
+    own = [one for one in pool if one.entry.domain == domain]
+    near = islice(cycle(own), hashed % len(own), None) if own else iter(())
+    chosen = {one.token: one for one in islice(near, min(len(own), limit // 2))}
+    start = (hashed >> HASH_SHIFT) % len(pool)
+    for one in islice(cycle(pool), start, start + len(pool)):
+        if len(chosen) >= limit:
+            break
+        chosen[one.token] = one
+    return list(chosen.values())
+
+
 def choose(
     pool: Iterable[Upstream],
     loads: LoadBook,
--- a/tests/features/forwarding.feature
+++ b/tests/features/forwarding.feature
@@ -53,6 +53,13 @@
   Scenario: An upstream starts again under its id
     Then the new incarnation gets flows under the same token
 
+  Scenario: An opening packet of a large service takes ever longer
+    Then a flow chooses between a bounded number of upstreams, half of them near
+    And every upstream of a large service gets flows
+
+  Scenario: A request that nobody answers counts as load for good
+    Then a request counts for a bounded time
+
   Scenario: The table of flows grows without bound
     Then the table of flows stays within its capacity
     And flows that have been idle for long are forgotten
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -6,6 +6,7 @@
 
 from cardamomtiller.forwarding.flows import Flow, FlowOptions, Observation
 from cardamomtiller.forwarding.options import DEFAULT_FORWARDING
+from cardamomtiller.forwarding.placement import sample
 from cardamomtiller.forwarding.reachability import ProbeResult, Verdict
 from cardamomtiller.forwarding.upstreams import (
     UpstreamDirectory,
@@ -357,6 +358,49 @@
     assert rig.sent_token(delivery) == token
 
 
+def make_large_pool(count=400):
+    """Return a pool over four failure domains."""
+    directory = UpstreamDirectory(2000, 60_000)
+    for number in range(count):
+        directory.put(rig.entry(f'u-{number}', domain='abcd'[number % 4]), 0)
+    return directory.pool('orders')
+
+
+@then('a flow chooses between a bounded number of upstreams, half of them near')
+def step_sample(context):
+    pool = make_large_pool()
+    for hashed in range(0, 1 << 32, 9_999_991):
+        chosen = sample(pool, rig.HOME, 32, hashed)
+        assert len(chosen) == len({one.token for one in chosen}) == 32
+        assert sum(one.entry.domain == rig.HOME for one in chosen) >= 16
+    assert sample(pool[:32], rig.HOME, 32, 5) == list(pool[:32])
+
+
+@then('every upstream of a large service gets flows')
+def step_spread(context):
+    pool = make_large_pool()
+    random = Random(SEED)
+    seen = set()
+    for _ in range(1000):
+        chosen = sample(pool, rig.HOME, 32, random.getrandbits(32))
+        seen.update(one.token for one in chosen)
+    assert seen == {one.token for one in pool}
+
+
+@then('a request counts for a bounded time')
+def step_stalled(context):
+    forwarder = rig.make_forwarder()
+    for port in range(1000, 1010):
+        rig.open_flow(forwarder, port, port - 1000)
+    loads = forwarder.observer.loads
+    assert sum(load.in_progress for _, load in loads) == 10
+    longest_ms = DEFAULT_FORWARDING.flows.request_ms
+    forwarder.sweep(longest_ms + 4.5)
+    assert sum(load.in_progress for _, load in loads) == 5
+    forwarder.sweep(longest_ms + 20)
+    assert sum(load.in_progress for _, load in loads) == 0
+
+
 @then('the table of flows stays within its capacity')
 def step_capacity(context):
     flows = FlowOptions(capacity=50, idle_ms=15_000, request_ms=600)
--- /dev/null
+++ b/tools/bench_forwarding.py
@@ -0,0 +1,93 @@
+"""
+Processor time and memory of the forwarding decisions, by size.
+
+``python -m tools.bench_forwarding`` prints one row for each number of upstreams in a
+pool and of flows in the table. Sockets are left out; a bare forwarder, which only
+decodes a packet and looks its token up, is the unit of comparison.
+"""
+
+import argparse
+import sys
+import time
+import tracemalloc
+from pathlib import Path
+
+sys.path.append(str(Path(__file__).resolve().parent.parent))
+
+from cardamomtiller.forwarding.upstreams import token_of
+from cardamomtiller.ids import UpstreamId
+from tests import forwarding_rig as rig
+
+US_PER_S = 1_000_000
+PACKETS = 3000
+
+
+def bare_us(datagrams: list[bytes], tokens: dict[int, object]) -> float:
+    """Return the time of a packet in a forwarder that keeps nothing."""
+    header = rig.HeaderFormat()
+    started_s = time.process_time()
+    for datagram in datagrams:
+        packet = header.decode(datagram)
+        if packet is not None:
+            tokens.get(packet.token)
+    return (time.process_time() - started_s) / len(datagrams) * US_PER_S
+
+
+def measure(upstreams: int, flows: int) -> str:
+    """Return one row of the table."""
+    names = [f'u-{number}' for number in range(upstreams)]
+    forwarder = rig.make_forwarder(names)
+    tokens: dict[int, object] = {token_of(UpstreamId(name)): name for name in names}
+    tracemalloc.start()
+    for number in range(flows):
+        token = token_of(UpstreamId(names[number % upstreams]))
+        datagram = rig.packet(
+            number % 60_000,
+            seq=101,
+            ack=500,
+            token=token,
+            route_port=number // 60_000,
+        )
+        rig.handle(forwarder, datagram, 0)
+    flow_bytes = tracemalloc.get_traced_memory()[0] / max(flows, 1)
+    tracemalloc.stop()
+    opens = [rig.opening(number) for number in range(PACKETS)]
+    started_s = time.process_time()
+    for datagram in opens:
+        rig.handle(forwarder, datagram, 1)
+    open_us = (time.process_time() - started_s) / PACKETS * US_PER_S
+    later = [
+        rig.packet(number, seq=111, ack=501, size=40, token=next(iter(tokens)))
+        for number in range(PACKETS)
+    ]
+    started_s = time.process_time()
+    for datagram in later:
+        rig.handle(forwarder, datagram, 2)
+    packet_us = (time.process_time() - started_s) / PACKETS * US_PER_S
+    started_s = time.process_time()
+    for tick in range(10):
+        forwarder.sweep(1000 + tick)
+    sweep_ms = (time.process_time() - started_s) * 100
+    bare = bare_us(later, tokens)
+    return (
+        f'{upstreams:9} {flows:7} {open_us:8.0f} {packet_us:10.1f} {bare:8.1f} '
+        f'{packet_us / bare:6.1f} {sweep_ms:9.2f} {flow_bytes:11.0f}'
+    )
+
+
+def main() -> None:
+    """Print the table."""
+    argparse.ArgumentParser(description=__doc__).parse_args()
+    print('upstreams   flows  open us  packet us  bare us  ratio  sweep ms  flow bytes')
+    for upstreams, flows in (
+        (7, 1000),
+        (75, 1000),
+        (75, 36_000),
+        (440, 36_000),
+        (3500, 36_000),
+    ):
+        print(measure(upstreams, flows), flush=True)
+
+
+if __name__ == '__main__':
+    main()
