--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 BIN := $(VENV)/bin
 SEED ?= 1
 MINUTES ?= 5
+SEEDS ?= 10
 STAMP := $(VENV)/.installed
 
-.PHONY: all setup test lint format schema binary demo bench bench-policy bench-membership bench-limits bench-datapath measures fuzz test-mutants clean
+.PHONY: all setup test lint format schema binary demo demo-platform bench bench-policy bench-membership bench-limits bench-datapath bench-forwarding bench-replay measures fuzz soak test-mutants clean
 
 all: lint test
 
@@ -45,13 +46,19 @@
 demo: setup
 	$(BIN)/python -m tools.demo
 
+demo-platform: setup
+	$(BIN)/python -m tools.packet_demo
+
+soak: setup
+	$(BIN)/python -m tools.packet_soak --seed $(SEED) --seeds $(SEEDS)
+
 fuzz: setup
 	$(BIN)/python -m tools.fuzz --seed $(SEED) --minutes $(MINUTES)
 
 test-mutants: setup
 	$(BIN)/python -m tools.mutants
 
-bench: bench-policy bench-membership bench-limits bench-datapath
+bench: bench-policy bench-membership bench-limits bench-datapath bench-forwarding bench-replay
 
 bench-policy: setup
 	$(BIN)/python -m tools.bench_policy
@@ -65,6 +72,12 @@
 bench-datapath: setup
 	$(BIN)/python -m tools.bench_datapath
 
+bench-forwarding: setup
+	$(BIN)/python -m tools.bench_forwarding
+
+bench-replay: setup
+	$(BIN)/python -m tools.forwarding_replay
+
 measures: setup
 	$(BIN)/python -m tools.measures
 
--- a/tests/features/forwarding_live.feature
+++ b/tests/features/forwarding_live.feature
@@ -16,5 +16,8 @@
   Scenario: A reader of the log that does not read stops the packets
     Then an instance whose log is not read still serves and counts what it dropped
 
+  Scenario: An instance that pauses opens flows at several upstreams
+    Then users of one of them that dies go on, and no other flow is reset
+
   Scenario: Faults in series and at once break a promise
     Then a seeded soak breaks no promise
--- a/tests/features/steps/forwarding_live_steps.py
+++ b/tests/features/steps/forwarding_live_steps.py
@@ -13,6 +13,7 @@
 from tools.packet_soak import Soak
 
 LANE = 81
+PAUSE_LANE = 82
 SOAK_SEED = 7
 SOAK_S = 6
 # The bound of the platform for a change to be in force.
@@ -169,6 +170,29 @@
     os.close(writer)
 
 
+@then('users of one of them that dies go on, and no other flow is reset')
+def step_copied_opens(context):
+    deployment = Deployment({'a': 1}, {'orders': 4}, PAUSE_LANE)
+    context.add_cleanup(deployment.close)
+    deployment.wait_until_ready()
+    ends = deployment.ends
+    (host,) = deployment.hosts
+    deployment.signal(host, signal.SIGSTOP)
+    flows = [ends.request(443) for _ in range(40)]
+    time.sleep(0.9)
+    deployment.signal(host, signal.SIGCONT)
+    time.sleep(1)
+    assert {one.outcome for one in flows} == {'done'}
+    victim = deployment.upstreams[0]
+    stuck = [one for one in flows if one.token == token_of(victim.name)]
+    ends.kill(victim.name)
+    again = [ends.request(443, one) for one in stuck]
+    time.sleep(2.5)
+    assert {one.outcome for one in again} == {'refused'}
+    assert not ends.foreign_resets
+    assert ends.copied_resets
+
+
 @then('a seeded soak breaks no promise')
 def step_soak(context):
     findings = Soak(SOAK_SEED, SOAK_S).run()
--- /dev/null
+++ b/tests/features/steps/forwarding_load_steps.py
@@ -0,0 +1,84 @@
+"""Steps that replay load patterns against the placement of flows."""
+
+from behave import then
+
+from cardamomtiller.forwarding.forwarder import Forwarder
+from cardamomtiller.forwarding.options import DEFAULT_FORWARDING
+from tools.forwarding_replay import PATTERNS, Replay, RoundRobin, TwoChoices
+
+LENGTH_MS = 12_000
+SEEDS = (0, 1)
+STEADY, CREST, SHORT, SLOW = PATTERNS
+
+
+class Changed(Forwarder):
+    """Placement with other weights."""
+
+    weights: dict[str, float] = {}
+
+    def __init__(self, domain, packet_format, port, options, log, meters):
+        """Change the weights."""
+        placement = options.placement._replace(**self.weights)
+        changed = options._replace(placement=placement)
+        super().__init__(domain, packet_format, port, changed, log, meters)
+
+
+class FullWeight(Changed):
+    """Placement that takes reports of others as if they were exact."""
+
+    weights = {'others_busy': 1.0}
+
+
+class NoLatency(Changed):
+    """Placement that does not look at the latency."""
+
+    weights = {'latency': 0.0}
+
+
+def share(pattern, policy=Forwarder, is_shared=True):
+    """Return the mean share of requests within the target."""
+    replays = [Replay(pattern, policy, seed, is_shared) for seed in SEEDS]
+    return sum(replay.run(LENGTH_MS) for replay in replays) / len(SEEDS)
+
+
+def assert_better(pattern):
+    """Check that a pattern is served better than by the simpler policies."""
+    ours = share(pattern)
+    assert ours > share(pattern, TwoChoices, is_shared=False)
+    assert ours > share(pattern, RoundRobin, is_shared=False)
+
+
+@then('more requests are in time at the crest than with simpler policies')
+def step_crest(context):
+    assert_better(CREST)
+
+
+@then('more requests are in time under steady load than with simpler policies')
+def step_steady(context):
+    assert_better(STEADY)
+
+
+@then('more requests are in time with short flows than with simpler policies')
+def step_short(context):
+    assert_better(SHORT)
+
+
+@then('more requests are in time beside a slow upstream than with simpler policies')
+def step_slow(context):
+    assert_better(SLOW)
+
+
+@then('weighing the latency helps beside a slow upstream')
+def step_latency(context):
+    assert share(SLOW) > share(SLOW, NoLatency)
+
+
+@then('reports of the other instances help under steady load')
+def step_reports(context):
+    assert share(STEADY) > share(STEADY, is_shared=False)
+
+
+@then('the full weight of reports is worse than a small one')
+def step_herd(context):
+    assert DEFAULT_FORWARDING.placement.others_busy < 1
+    assert share(SHORT) > share(SHORT, FullWeight)
--- a/tools/list_counters.py
+++ b/tools/list_counters.py
@@ -1,6 +1,6 @@
 """List the counters, gauges and timers that the code uses.
 
-With ``--check``, print those that docs/operations.md does not name and fail.
+With ``--check``, print those that docs/OPERATIONS.md does not name and fail.
 A name that is put together at run time is listed with ``*`` for its parts.
 """
 
@@ -11,7 +11,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SOURCES = ROOT / 'src' / 'cardamomtiller'
-PAGE = ROOT / 'docs' / 'operations.md'
+PAGE = ROOT / 'docs' / 'OPERATIONS.md'
 METHODS = frozenset(
     ('add', 'set_gauge', 'time_ms', 'count', '_count', 'Failure', 'Dropped'),
 )
--- a/tools/packet_soak.py
+++ b/tools/packet_soak.py
@@ -33,8 +33,13 @@
 TOUCH_S = 4.0
 SETTLE_S = 6.0
 LONG_FLOWS = 6
-# Requests of the calm after the faults that may miss their deadline: none.
+# A route that is added after the faults.
 EXTRA_PORT = 5000
+# Seeds that failed once, and why.
+REGRESSION_SEEDS = {
+    7: 'the check counted a flow that a repeated opening packet had left elsewhere',
+    46: 'as seed 7',
+}
 
 
 @dataclass
@@ -365,16 +370,20 @@
     parser.add_argument(
         '--seconds', type=float, default=15, help='length of the faults'
     )
+    parser.add_argument('--regressions', action='store_true', help='seeds that failed')
     options = parser.parse_args()
+    seeds = list(range(options.seed, options.seed + options.seeds))
+    if options.regressions:
+        seeds = list(REGRESSION_SEEDS)
     failed = 0
-    for seed in range(options.seed, options.seed + options.seeds):
+    for seed in seeds:
         findings = Soak(seed, options.seconds).run()
         failed += bool(findings.broken)
         verdict = 'BROKEN ' + '; '.join(findings.broken) if findings.broken else 'holds'
         print(f'seed {seed}: {verdict}; {dict(findings.outcomes)}', flush=True)
         if findings.broken:
             print('  ' + '\n  '.join(findings.events), flush=True)
-    print(f'{options.seeds - failed} passed, {failed} failed')
+    print(f'{len(seeds) - failed} passed, {failed} failed')
     return 1 if failed else 0
 
 
