Close idle connections, prune what grows with the fleet, take over new seeds

Suspicions, avoided sources and reports of members that are gone are dropped. SIGHUP reads the settings again and takes over the seeds.

--- a/src/cardamomtiller/forwarding/endpoints.py
+++ b/src/cardamomtiller/forwarding/endpoints.py
@@ -82,7 +82,7 @@
             return
         for server in self._servers:
             if descriptor == server.listener:
-                accepted = server.accept()
+                accepted = server.accept(now_ms)
                 if accepted is not None:
                     self._poller.register(accepted, select.EPOLLIN)
                 return
@@ -102,6 +102,10 @@
         self.answer_waiting(now_ms)
         return self._exchange.table.peers()
 
+    def reload(self, options: EndpointOptions) -> None:
+        """Take the settings that may change while the process runs: the seeds."""
+        self._exchange.seeds = options.exchange.seeds
+
     def leave(self, now_ms: float) -> None:
         """Tell the peers that this instance is about to stop."""
         self._exchange.leave(now_ms)
--- a/src/cardamomtiller/forwarding/exchange.py
+++ b/src/cardamomtiller/forwarding/exchange.py
@@ -64,6 +64,7 @@
         self._log = log
         self._meters = meters
         self._started_ms = now_ms
+        self.seeds = options.seeds
         self._announce_at_ms = now_ms
         self.table = MemberTable(options.me, options.fleet)
         self._sharing = LoadSharing(options.me, loads, options.sharing)
@@ -100,7 +101,7 @@
         self._announce_at_ms = now_ms + interval_ms
         self.table.expire(now_ms)
         is_alone = not self.table.peers()
-        for host, domain in self.table.receivers(self._options.seeds):
+        for host, domain in self.table.receivers(self.seeds):
             self._send(host, domain, now_ms, is_reply_wanted=is_alone)
 
     def share_load(self, now_ms: float) -> None:
--- a/src/cardamomtiller/forwarding/httpserver.py
+++ b/src/cardamomtiller/forwarding/httpserver.py
@@ -8,6 +8,8 @@
 
 MAX_REQUEST_BYTES = 8192
 BACKLOG = 128
+# A caller that lost its power leaves a connection behind that nobody closes.
+IDLE_MS = 30_000.0
 
 
 class Request(NamedTuple):
@@ -42,13 +44,18 @@
 class Connection:
     """One connection of a caller; callbacks of the parser collect its requests."""
 
-    def __init__(self, peer: socket.socket, handlers: Mapping[str, Handler]) -> None:
+    def __init__(
+        self,
+        peer: socket.socket,
+        handlers: Mapping[str, Handler],
+        now_ms: float,
+    ) -> None:
         """Take over an accepted socket."""
+        self.heard_ms = now_ms
         self.peer = peer
         self._handlers = handlers
         self._parser = httptools.HttpRequestParser(self)
         self._url = b''
-        self._now_ms: float = 0
         self._waiting: list[Request] = []
         self._unsent = b''
 
@@ -65,11 +72,11 @@
         """Take a complete request."""
         path, _, query = self._url.decode('latin-1').partition('?')
         self._url = b''
-        self._waiting.append(Request(path, parse_query(query), self._now_ms))
+        self._waiting.append(Request(path, parse_query(query), self.heard_ms))
 
     def receive(self, now_ms: float) -> bool:
         """Read what has arrived; return whether the connection stays open."""
-        self._now_ms = now_ms
+        self.heard_ms = now_ms
         try:
             data = self.peer.recv(MAX_REQUEST_BYTES)
         except BlockingIOError:
@@ -143,7 +150,7 @@
         """Descriptor of the listening socket."""
         return self._listener.fileno()
 
-    def accept(self) -> int | None:
+    def accept(self, now_ms: float) -> int | None:
         """Accept one connection and return its descriptor, None if there is none."""
         try:
             peer, _ = self._listener.accept()
@@ -153,7 +160,7 @@
             peer.close()
             return None
         peer.setblocking(False)
-        self._connections[peer.fileno()] = Connection(peer, self._handlers)
+        self._connections[peer.fileno()] = Connection(peer, self._handlers, now_ms)
         return peer.fileno()
 
     def owns(self, descriptor: int) -> bool:
@@ -166,9 +173,10 @@
             self._close(descriptor)
 
     def answer_waiting(self, now_ms: float) -> None:
-        """Ask the handlers of waiting requests again and send what was left."""
+        """Ask the handlers of waiting requests again; close idle connections."""
         for descriptor, connection in tuple(self._connections.items()):
-            if connection.is_waiting and not connection.answer(now_ms):
+            is_idle = now_ms - connection.heard_ms > IDLE_MS
+            if is_idle or (connection.is_waiting and not connection.answer(now_ms)):
                 self._close(descriptor)
 
     def _close(self, descriptor: int) -> None:
--- a/src/cardamomtiller/forwarding/loadsharing.py
+++ b/src/cardamomtiller/forwarding/loadsharing.py
@@ -147,6 +147,9 @@
 
     def measure(self, now_ms: float) -> None:
         """Update the means of this instance and the loads of the others."""
+        for host, report in tuple(self._instances.items()):
+            if now_ms - report.at_ms > self._options.kept_ms:
+                del self._instances[host]
         for _, load in self._book:
             load.measure(now_ms, self._options.horizon_ms)
         others = {row.token: row for row in self._others(now_ms)}
--- a/src/cardamomtiller/forwarding/node.py
+++ b/src/cardamomtiller/forwarding/node.py
@@ -133,6 +133,7 @@
         self._log.write('process_started', steady_ms(), phase=self._phase.value)
         self._poller.register(self._wake_reader, select.EPOLLIN)
         self._turn()
+        self._read_endpoint_options = read_endpoint_options
         self._open_endpoints(read_endpoint_options())
         self._forward_until_stopped()
         self._log.write('process_stopped', steady_ms())
@@ -310,11 +311,24 @@
             self._follower.peers = self._endpoints.tick(now_ms)
         if self._reload_asked:
             self._reload_asked = False
-            self._log.write('reload_asked', now_ms)
+            self._reload(now_ms)
         self._meters.gauge('picture_age_ms', self._picture.age_ms(now_ms))
         self._meters.gauge('log_lines_suppressed', self._log.suppressed)
         self._log.flush()
 
+    def _reload(self, now_ms: float) -> None:
+        """Read the settings again; keep the old ones if they cannot be read."""
+        try:
+            options = self._read_endpoint_options()
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            self._meters.count('reloads_failed')
+            self._log.write('reload_failed', now_ms, error=repr(error))
+            return
+        if self._endpoints is not None:
+            self._endpoints.reload(options)
+        seeds = ','.join(options.exchange.seeds)
+        self._log.write('reloaded', now_ms, seeds=seeds)
+
     def _answer_health_check(self, _request: 'Request', _now_ms: float) -> 'Reply':
         from cardamomtiller.forwarding.httpserver import Reply
 
--- a/src/cardamomtiller/forwarding/reachability.py
+++ b/src/cardamomtiller/forwarding/reachability.py
@@ -143,6 +143,9 @@
     def due_probes(self, now_ms: float) -> Iterator[Token]:
         """Iterate over the upstreams to probe now, which then count as probed."""
         self.is_probe_due = False
+        for trusted, until_ms in tuple(self._trusted_until_ms.items()):
+            if now_ms > until_ms:
+                del self._trusted_until_ms[trusted]
         for token, path in tuple(self._paths.items()):
             if now_ms - path.changed_ms > self._options.kept_ms:
                 del self._paths[token]
--- a/src/cardamomtiller/forwarding/sources.py
+++ b/src/cardamomtiller/forwarding/sources.py
@@ -43,6 +43,9 @@
 
     def fail(self, host: str, now_ms: float) -> None:
         """Take note that a source failed or was stale."""
+        for gone, until_ms in tuple(self._avoided_until_ms.items()):
+            if until_ms <= now_ms:
+                del self._avoided_until_ms[gone]
         self._avoided_until_ms[host] = now_ms + self._options.avoided_ms
 
     def is_stale(self, age_ms: float) -> bool:
--- a/tests/features/forwarding_fleet.feature
+++ b/tests/features/forwarding_fleet.feature
@@ -35,5 +35,8 @@
     And reports that are too old no longer count
     And an instance reports to the next member when the first one is silent
 
+  Scenario: Connections of callers that lost their power fill the server
+    Then a connection that is silent for long is closed
+
   Scenario: The messages of an instance grow with the fleet
     Then the messages of the busiest instance stay bounded as the fleet grows
--- a/tests/features/steps/forwarding_fleet_steps.py
+++ b/tests/features/steps/forwarding_fleet_steps.py
@@ -1,5 +1,7 @@
 """Steps for reading records together and for shared load."""
 
+import socket
+import time
 from random import Random
 
 from behave import then
@@ -11,6 +13,7 @@
     decode_announcement,
     encode_announcement,
 )
+from cardamomtiller.forwarding.httpserver import IDLE_MS, HttpServer, Reply
 from cardamomtiller.forwarding.load import LoadBook
 from cardamomtiller.forwarding.loadsharing import (
     DEFAULT_SHARING,
@@ -381,6 +384,23 @@
     assert 9 < fleet.others_busy(fleet.members[3].host) < 11
 
 
+@then('a connection that is silent for long is closed')
+def step_idle_connection(context):
+    page = Reply(200, 'text/plain', b'ok')
+    server = HttpServer(('127.0.0.1', 0), {'/': lambda _request, _now_ms: page}, 1)
+    address = server._listener.getsockname()
+    with socket.create_connection(address) as silent:
+        time.sleep(0.1)
+        descriptor = server.accept(0)
+        assert descriptor is not None
+        server.answer_waiting(IDLE_MS)
+        assert server.owns(descriptor)
+        server.answer_waiting(IDLE_MS + 1)
+        assert not server.owns(descriptor)
+        silent.settimeout(1)
+        assert silent.recv(1) == b''
+
+
 @then('the messages of the busiest instance stay bounded as the fleet grows')
 def step_growth(context):
     seconds = 20
--- a/tests/features/steps/forwarding_live_steps.py
+++ b/tests/features/steps/forwarding_live_steps.py
@@ -121,7 +121,8 @@
         deployment.signal(host, signal.SIGHUP)
     time.sleep(0.3)
     assert all(one.poll() is None for one in deployment.processes.values())
-    assert any(row['event'] == 'reload_asked' for row in events_of(deployment))
+    reloads = [row for row in events_of(deployment) if row['event'] == 'reloaded']
+    assert len(reloads) == len(deployment.hosts)
 
 
 @then('the metrics page shows the counters and histograms')
