--- a/src/cardamomtiller/forwarding/endpoints.py
+++ b/src/cardamomtiller/forwarding/endpoints.py
@@ -14,7 +14,7 @@
 from cardamomtiller.forwarding.meters import Meters
 from cardamomtiller.forwarding.metricspage import MetricsPage
 from cardamomtiller.forwarding.peersource import CHANGES_PATH
-from cardamomtiller.forwarding.picture import Picture
+from cardamomtiller.forwarding.replica import Replica
 from cardamomtiller.forwarding.upstreams import SocketAddress
 
 
@@ -36,7 +36,7 @@
         self,
         options: EndpointOptions,
         answer_health_check: Handler,
-        picture: Picture,
+        replica: Replica,
         loads: LoadBook,
         log: DecisionLog,
         meters: Meters,
@@ -47,7 +47,7 @@
         self._poller = poller
         self._exchange = Exchange(
             options.exchange,
-            picture,
+            replica,
             loads,
             log,
             meters,
--- a/src/cardamomtiller/forwarding/exchange.py
+++ b/src/cardamomtiller/forwarding/exchange.py
@@ -1,4 +1,4 @@
-"""Announcements and load reports to other instances, and the picture they read."""
+"""Announcements and load reports to other instances, and the replica they read."""
 
 import socket
 from typing import NamedTuple
@@ -25,15 +25,15 @@
 from cardamomtiller.forwarding.member import Member
 from cardamomtiller.forwarding.meters import Meters
 from cardamomtiller.forwarding.peersource import PeerReply, encode_reply
-from cardamomtiller.forwarding.picture import Picture
 from cardamomtiller.forwarding.records import Revision
+from cardamomtiller.forwarding.replica import Replica
 from cardamomtiller.ids import DomainName
 
 MAX_DATAGRAM_BYTES = 65_535
 DATAGRAMS_PER_TURN = 64
 LONGEST_WAIT_MS = 5000.0
 MALFORMED = Reply(400, 'text/plain', b'after and wait_ms must be numbers\n')
-INCOMPLETE = Reply(503, 'text/plain', b'no picture yet\n')
+INCOMPLETE = Reply(503, 'text/plain', b'no replica yet\n')
 
 
 class ExchangeOptions(NamedTuple):
@@ -47,12 +47,12 @@
 
 
 class Exchange:
-    """Keeps the table of members and answers peers that read the picture."""
+    """Keeps the table of members and answers peers that read the replica."""
 
     def __init__(
         self,
         options: ExchangeOptions,
-        picture: Picture,
+        replica: Replica,
         loads: LoadBook,
         log: DecisionLog,
         meters: Meters,
@@ -60,7 +60,7 @@
     ) -> None:
         """Open the socket for announcements."""
         self._options = options
-        self._picture = picture
+        self._replica = replica
         self._log = log
         self._meters = meters
         self._started_ms = now_ms
@@ -116,19 +116,19 @@
             self._send(peer.host, peer.domain, now_ms, is_leaving=True)
 
     def answer_changes(self, request: Request, now_ms: float) -> Reply | None:
-        """Answer a peer that reads the picture; let it wait if it has all."""
+        """Answer a peer that reads the replica; let it wait if it has all."""
         try:
             after = Revision(int(request.query['after']))
             wait_ms = min(float(request.query['wait_ms']), LONGEST_WAIT_MS)
         except (KeyError, ValueError):
             return MALFORMED
-        if not self._picture.is_complete:
+        if not self._replica.is_complete:
             return INCOMPLETE
         is_due = now_ms >= request.received_ms + wait_ms
-        if self._picture.revision <= after and not is_due:
+        if self._replica.revision <= after and not is_due:
             return None
-        batch = self._picture.changes_after(after)
-        age_ms = max(0, self._picture.age_ms(now_ms))
+        batch = self._replica.changes_after(after)
+        age_ms = max(0, self._replica.age_ms(now_ms))
         body = encode_reply(PeerReply(batch, age_ms))
         self._meters.count('peer_replies')
         return Reply(200, 'application/octet-stream', body)
--- a/src/cardamomtiller/forwarding/following.py
+++ b/src/cardamomtiller/forwarding/following.py
@@ -32,7 +32,7 @@
         Pause after a change, so that changes in quick succession share a call.
     retry_ms, largest_retry_ms
         First and largest pause after a failed call to the source.
-    lone_ms
+    discovery_ms
         How long a new instance waits for peers before it waits for changes.
     """
 
@@ -42,7 +42,7 @@
     pause_ms: float
     retry_ms: float
     largest_retry_ms: float
-    lone_ms: float
+    discovery_ms: float
 
 
 class Reading(NamedTuple):
@@ -105,7 +105,7 @@
 
     def _run(self) -> None:
         self._step()
-        self._pause(self._options.lone_ms)
+        self._pause(self._options.discovery_ms)
         while not self._stopped.is_set():
             self._step()
 
@@ -118,7 +118,7 @@
             self._note_failure(member, is_source, error)
             return
         except Exception as error:
-            # Without this task the instance would act on an old picture for good.
+            # Without this task the instance would act on an old replica for good.
             defect = SourceError(f'defect: {error!r}')
             self._note_failure(member, is_source, defect)
             self._pause(self._options.largest_retry_ms)
@@ -163,7 +163,7 @@
         peer = self._connect(member)
         reply = peer.read(self._revision, self._options.peer_wait_ms)
         if self._choice.is_stale(reply.age_ms):
-            raise SourceError(f'picture of {member.host} is {reply.age_ms:.0f} ms old')
+            raise SourceError(f'replica of {member.host} is {reply.age_ms:.0f} ms old')
         self._revision = max(self._revision, reply.batch.revision)
         confirmed_ms = self._read_steady_ms() - reply.age_ms
         return Reading(reply.batch, None, member.host, False, confirmed_ms)
--- a/src/cardamomtiller/forwarding/forwarder.py
+++ b/src/cardamomtiller/forwarding/forwarder.py
@@ -66,7 +66,7 @@
             options.departed_kept_ms,
         )
         self.observer = Observer(self.directory, options, self._reporter)
-        # How long the source has confirmed the picture without a gap.
+        # How long the source has confirmed the replica without a gap.
         self.steady_for_ms: float = 0
 
     def take_configuration(self, configuration: Configuration, now_ms: float) -> None:
@@ -210,7 +210,7 @@
         loads = [self.observer.loads.of(one.token) for one in pool]
         busy = sum(load.in_progress + load.others_busy for load in loads)
         slots = sum(one.entry.slots for one in pool)
-        return busy < self._options.room * slots
+        return busy < self._options.reset_utilisation * slots
 
     def _refuse_unknown(self, packet: Packet, now_ms: float) -> Iterator[Delivery]:
         """Drop a packet whose upstream is unknown, or reset its flow if it is gone."""
--- a/src/cardamomtiller/forwarding/load.py
+++ b/src/cardamomtiller/forwarding/load.py
@@ -8,7 +8,7 @@
 from cardamomtiller.forwarding.packet import FlowKey, Token
 
 # Time in which the weight of an unanswered request falls to a third.
-TROUBLE_DECAY_MS = 3000.0
+UNANSWERED_DECAY_MS = 3000.0
 # Weight of the newest latency in the running mean.
 LATENCY_GAIN = 0.1
 # An upstream that was slow gets flows again after this time without an answer.
@@ -41,17 +41,17 @@
     ----------
     in_progress, open_flows
         Requests and flows that this instance has there.
-    others_busy, others_trouble
-        Mean number of requests, and the trouble, of the other instances, as they
-        report.
+    others_busy, others_unanswered
+        Mean number of requests, and of unanswered ones, of the other instances, as
+        they report.
     """
 
     __slots__ = (
         '_busy_since_ms',
         '_busy_total_ms',
         '_measured_ms',
-        '_trouble',
-        '_trouble_ms',
+        '_unanswered',
+        '_unanswered_ms',
         'answered_ms',
         'heard_ms',
         'in_progress',
@@ -59,7 +59,7 @@
         'mean_latency_ms',
         'open_flows',
         'others_busy',
-        'others_trouble',
+        'others_unanswered',
         'silent_flows',
         'silent_opens',
         'silent_since_ms',
@@ -72,7 +72,7 @@
         self.open_flows = 0
         self.mean_busy: float = 0
         self.others_busy: float = 0
-        self.others_trouble: float = 0
+        self.others_unanswered: float = 0
         self.heard_ms: float | None = None
         self.mean_latency_ms: float | None = None
         self.answered_ms: float = 0
@@ -83,8 +83,8 @@
         self._busy_total_ms: float = 0
         self._busy_since_ms: float = 0
         self._measured_ms: float | None = None
-        self._trouble: float = 0
-        self._trouble_ms: float = 0
+        self._unanswered: float = 0
+        self._unanswered_ms: float = 0
 
     def change_in_progress(self, difference: int, now_ms: float) -> None:
         """Count requests that start or end."""
@@ -121,14 +121,16 @@
         is_old = now_ms - self.answered_ms > LATENCY_KEPT_MS
         return None if is_old else self.mean_latency_ms
 
-    def add_trouble(self, now_ms: float) -> None:
+    def add_unanswered(self, now_ms: float) -> None:
         """Record a request that the upstream has left unanswered for long."""
-        self._trouble = self.trouble(now_ms) + 1
-        self._trouble_ms = now_ms
+        self._unanswered = self.unanswered(now_ms) + 1
+        self._unanswered_ms = now_ms
 
-    def trouble(self, now_ms: float) -> float:
+    def unanswered(self, now_ms: float) -> float:
         """Return the unanswered requests of the last seconds, older ones less."""
-        return self._trouble * exp((self._trouble_ms - now_ms) / TROUBLE_DECAY_MS)
+        return self._unanswered * exp(
+            (self._unanswered_ms - now_ms) / UNANSWERED_DECAY_MS
+        )
 
     def hear(self, now_ms: float) -> None:
         """Record a sign of life."""
--- a/src/cardamomtiller/forwarding/loadsharing.py
+++ b/src/cardamomtiller/forwarding/loadsharing.py
@@ -38,11 +38,11 @@
 
 
 class LoadRow(NamedTuple):
-    """Mean requests in progress, and trouble, at one upstream."""
+    """Mean requests in progress, and unanswered ones, at one upstream."""
 
     token: Token
     busy: float
-    trouble: float
+    unanswered: float
 
 
 class LoadReport(NamedTuple):
@@ -116,8 +116,8 @@
         return LoadReport(
             ReportKind(kind),
             tuple(
-                LoadRow(Token(token), busy / SCALE, trouble / SCALE)
-                for token, busy, trouble in rows
+                LoadRow(Token(token), busy / SCALE, unanswered / SCALE)
+                for token, busy, unanswered in rows
             ),
         )
     except (struct.error, ValueError) as error:
@@ -156,7 +156,7 @@
         for token, load in self._book:
             row = others.get(token)
             load.others_busy = row.busy if row else 0
-            load.others_trouble = row.trouble if row else 0
+            load.others_unanswered = row.unanswered if row else 0
 
     def due_reports(
         self,
@@ -248,9 +248,9 @@
 
     def _own_rows(self, now_ms: float) -> Iterator[LoadRow]:
         for token, load in self._book:
-            trouble = load.trouble(now_ms)
-            if max(load.mean_busy, trouble) > 1 / SCALE:
-                yield LoadRow(token, load.mean_busy, trouble)
+            unanswered = load.unanswered(now_ms)
+            if max(load.mean_busy, unanswered) > 1 / SCALE:
+                yield LoadRow(token, load.mean_busy, unanswered)
 
     def _domain_rows(self, now_ms: float) -> Iterator[LoadRow]:
         reports = self._fresh(self._instances.values(), now_ms)
@@ -288,9 +288,9 @@
 
 def _sum_rows(rows: Iterable[LoadRow]) -> Iterator[LoadRow]:
     busy: dict[Token, float] = defaultdict(float)
-    trouble: dict[Token, float] = defaultdict(float)
+    unanswered: dict[Token, float] = defaultdict(float)
     for row in rows:
         busy[row.token] += row.busy
-        trouble[row.token] += row.trouble
+        unanswered[row.token] += row.unanswered
     for token, total in busy.items():
-        yield LoadRow(token, total, trouble[token])
+        yield LoadRow(token, total, unanswered[token])
--- a/src/cardamomtiller/forwarding/node.py
+++ b/src/cardamomtiller/forwarding/node.py
@@ -16,11 +16,11 @@
 from cardamomtiller.forwarding.meters import Meters
 from cardamomtiller.forwarding.options import ForwardingOptions
 from cardamomtiller.forwarding.packet import PacketFormat, Token
-from cardamomtiller.forwarding.picture import Picture
 from cardamomtiller.forwarding.prober import Prober
 from cardamomtiller.forwarding.rawsocket import datagram_socket
 from cardamomtiller.forwarding.reachability import ProbeResult
 from cardamomtiller.forwarding.records import RecordDecoder, RecordSource
+from cardamomtiller.forwarding.replica import Replica
 from cardamomtiller.forwarding.sources import SourceChoice, SourceOptions
 from cardamomtiller.forwarding.upstreams import SocketAddress
 from cardamomtiller.ids import MS_PER_S
@@ -114,7 +114,7 @@
             self._log,
             self._meters,
         )
-        self._picture = Picture(self._forwarder, decoder, self._log, self._meters)
+        self._replica = Replica(self._forwarder, decoder, self._log, self._meters)
         self._poller = select.epoll()
         self._endpoints: Endpoints | None = None
         probe_timeout_ms = options.forwarding.reachability.probe_timeout_ms
@@ -170,7 +170,7 @@
         self._endpoints = Endpoints(
             options,
             self._answer_health_check,
-            self._picture,
+            self._replica,
             self._forwarder.observer.loads,
             self._log,
             self._meters,
@@ -238,10 +238,10 @@
             self._forwarder.observer.take_reachability(change, now_ms)
 
     def _take_readings(self) -> None:
-        before = self._picture.revision
+        before = self._replica.revision
         for reading in self._follower.take_all():
             self._take_reading(reading, steady_ms())
-        if self._endpoints is not None and self._picture.revision != before:
+        if self._endpoints is not None and self._replica.revision != before:
             self._endpoints.answer_waiting(steady_ms())
 
     def _take_reading(self, reading: Reading, now_ms: float) -> None:
@@ -251,9 +251,9 @@
         if reading.batch is None:
             self._meters.count('readings_failed')
             return
-        if not self._picture.apply(reading.batch, reading.confirmed_ms, now_ms):
+        if not self._replica.apply(reading.batch, reading.confirmed_ms, now_ms):
             self._meters.count('readings_outdated')
-        if self._phase is Phase.STARTING and self._picture.is_complete:
+        if self._phase is Phase.STARTING and self._replica.is_complete:
             self._start_serving(now_ms)
 
     def _log_reading(self, reading: Reading, now_ms: float) -> None:
@@ -284,14 +284,14 @@
             host=reading.host,
             is_published_source=reading.is_from_source,
             error=error,
-            revision=self._picture.revision,
-            picture_age_ms=self._picture_age_ms(now_ms),
+            revision=self._replica.revision,
+            replica_age_ms=self._replica_age_ms(now_ms),
         )
 
-    def _picture_age_ms(self, now_ms: float) -> int | None:
-        if self._picture.confirmed_ms is None:
+    def _replica_age_ms(self, now_ms: float) -> int | None:
+        if self._replica.confirmed_ms is None:
             return None
-        return round(self._picture.age_ms(now_ms))
+        return round(self._replica.age_ms(now_ms))
 
     def _start_serving(self, now_ms: float) -> None:
         self._phase = Phase.SERVING
@@ -300,11 +300,11 @@
             'serving',
             now_ms,
             configuration=self._forwarder.configuration.version,
-            revision=self._picture.revision,
+            revision=self._replica.revision,
         )
 
     def _tick(self, now_ms: float) -> None:
-        self._forwarder.steady_for_ms = self._picture.steady_for_ms(now_ms)
+        self._forwarder.steady_for_ms = self._replica.steady_for_ms(now_ms)
         self._forwarder.sweep(now_ms)
         self._probe(now_ms)
         if self._endpoints is not None:
@@ -312,7 +312,7 @@
         if self._reload_asked:
             self._reload_asked = False
             self._reload(now_ms)
-        self._meters.gauge('picture_age_ms', self._picture.age_ms(now_ms))
+        self._meters.gauge('replica_age_ms', self._replica.age_ms(now_ms))
         self._meters.gauge('log_lines_suppressed', self._log.suppressed)
         self._log.flush()
 
--- a/src/cardamomtiller/forwarding/observing.py
+++ b/src/cardamomtiller/forwarding/observing.py
@@ -66,7 +66,9 @@
     def has_waited(self, key: FlowKey) -> bool:
         """Return whether a flow has waited long enough to be reset in any case."""
         flow = self._flows.find(key)
-        return flow is None or flow.retransmissions >= self._options.held_resets
+        return (
+            flow is None or flow.retransmissions >= self._options.reset_retransmissions
+        )
 
     def is_unreachable(self, upstream: Upstream) -> bool:
         """Return whether an upstream is certainly out of reach."""
@@ -87,7 +89,7 @@
     def sweep(self, now_ms: float) -> None:
         """Age out flows and requests that got lost; look at reports of others."""
         for token, load in self.loads:
-            if load.others_trouble >= self._options.suspicious_trouble:
+            if load.others_unanswered >= self._options.suspicious_unanswered:
                 upstream = self._directory.by_token(token)
                 if upstream is not None:
                     self._suspect(upstream, 'reported', now_ms)
@@ -123,7 +125,7 @@
         if flow.retransmissions == 1:
             load.miss_answer(now_ms)
         elif flow.retransmissions == 2:
-            load.add_trouble(now_ms)
+            load.add_unanswered(now_ms)
         if self._is_silence_suspicious(flow, load):
             self._suspect(flow.upstream, 'requests_unanswered', now_ms)
 
--- a/src/cardamomtiller/forwarding/options.py
+++ b/src/cardamomtiller/forwarding/options.py
@@ -28,12 +28,12 @@
     neighbour_ms
         Time without a sign of life after which an upstream is suspected because
         another one of its failure domain is unreachable.
-    room
+    reset_utilisation
         Utilisation of the rest of a pool below which flows of an unreachable
         upstream are reset at once.
-    held_resets
+    reset_retransmissions
         Retransmissions after which they are reset in any case.
-    suspicious_trouble
+    suspicious_unanswered
         Unanswered requests of other instances that are a suspicion.
     unknown_ms
         How long a token must be unknown before its upstream counts as gone.
@@ -46,9 +46,9 @@
     departed_kept_ms: float
     suspicious_flows: int
     neighbour_ms: float
-    room: float
-    held_resets: int
-    suspicious_trouble: float
+    reset_utilisation: float
+    reset_retransmissions: int
+    suspicious_unanswered: float
     unknown_ms: float
 
 
@@ -57,7 +57,7 @@
     idle_flow=0.05,
     others_busy=0.1,
     latency=0.1,
-    trouble=0.1,
+    unanswered=0.1,
     remote=0.34,
     cold=0.7,
     missing=2.0,
@@ -74,9 +74,9 @@
     departed_kept_ms=60_000,
     suspicious_flows=2,
     neighbour_ms=300,
-    room=0.9,
-    held_resets=2,
-    suspicious_trouble=1.5,
+    reset_utilisation=0.9,
+    reset_retransmissions=2,
+    suspicious_unanswered=1.5,
     unknown_ms=2500,
 )
 DEFAULT_LOG = LogOptions(lines_per_s=500, buffered_lines=4000)
--- a/src/cardamomtiller/forwarding/peersource.py
+++ b/src/cardamomtiller/forwarding/peersource.py
@@ -63,7 +63,7 @@
 
 
 class PeerConnection:
-    """Reads the picture of one other instance."""
+    """Reads the replica of one other instance."""
 
     def __init__(self, address: SocketAddress, timeout_ms: float) -> None:
         """Prepare; the first call connects."""
--- a/src/cardamomtiller/forwarding/placement.py
+++ b/src/cardamomtiller/forwarding/placement.py
@@ -35,7 +35,7 @@
         until the next reports.
     latency
         Of a mean latency that is twice the least one of the pool.
-    trouble
+    unanswered
         Of a request that the upstream has lately left unanswered for long.
     remote
         Of an upstream in another failure domain.
@@ -52,7 +52,7 @@
     idle_flow: float
     others_busy: float
     latency: float
-    trouble: float
+    unanswered: float
     remote: float
     cold: float
     missing: float
@@ -179,7 +179,7 @@
     idle_flows = max(0, load.open_flows - load.in_progress)
     busy = load.in_progress + options.idle_flow * idle_flows
     busy += options.others_busy * load.others_busy
-    busy += options.trouble * (load.trouble(now_ms) + load.others_trouble)
+    busy += options.unanswered * (load.unanswered(now_ms) + load.others_unanswered)
     cost = busy / upstream.entry.slots
     if upstream.entry.domain != domain:
         cost += options.remote
--- a/src/cardamomtiller/forwarding/picture.py
+++ b/src/cardamomtiller/forwarding/replica.py
@@ -1,4 +1,4 @@
-"""The picture of the world that an instance acts on, and how old it is."""
+"""The replica of the published records that an instance acts on, and its age."""
 
 from collections import deque
 from collections.abc import Iterator
@@ -26,18 +26,18 @@
 LONGEST_GAP_MS = 4000.0
 
 
-class Picture:
+class Replica:
     """
     All records up to a revision; applies each to the forwarder, once and in order.
 
     Attributes
     ----------
     revision
-        Revision up to which the picture is complete.
+        Revision up to which the replica is complete.
     confirmed_ms
         Time at which the source last confirmed that nothing newer existed.
     steady_since_ms
-        Since when the source has confirmed the picture without a long gap.
+        Since when the source has confirmed the replica without a long gap.
     """
 
     def __init__(
@@ -68,7 +68,7 @@
         )
 
     def age_ms(self, now_ms: float) -> float:
-        """Return how long ago the source confirmed the picture."""
+        """Return how long ago the source confirmed the replica."""
         return now_ms if self.confirmed_ms is None else now_ms - self.confirmed_ms
 
     def apply(self, batch: Batch, confirmed_ms: float, now_ms: float) -> bool:
@@ -87,8 +87,8 @@
         Returns
         -------
         bool
-            Whether the batch continues the picture; False if it is older than the
-            picture, or if changes between the two are missing.
+            Whether the batch continues the replica; False if it is older than the
+            replica, or if changes between the two are missing.
         """
         if batch.revision < self.revision:
             return False
@@ -103,7 +103,7 @@
         return True
 
     def steady_for_ms(self, now_ms: float) -> float:
-        """Return how long the source has confirmed the picture without a gap."""
+        """Return how long the source has confirmed the replica without a gap."""
         if self.steady_since_ms is None or self.age_ms(now_ms) > LONGEST_GAP_MS:
             return 0
         return now_ms - self.steady_since_ms
@@ -150,7 +150,7 @@
 
     def _apply_changes(self, batch: Batch, now_ms: float) -> None:
         for record in batch.records:
-            # What is not newer is part of the picture already, or was removed since.
+            # What is not newer is part of the replica already, or was removed since.
             if record.revision > self.revision:
                 self._apply_record(record, now_ms)
 
--- a/src/cardamomtiller/forwarding/reporting.py
+++ b/src/cardamomtiller/forwarding/reporting.py
@@ -182,5 +182,5 @@
             reason=reason.value,
             state=upstream.state.value if upstream else None,
             entry_age_ms=round(now_ms - upstream.changed_ms) if upstream else None,
-            picture_steady_ms=round(steady_for_ms),
+            replica_steady_ms=round(steady_for_ms),
         )
--- a/src/cardamomtiller/forwarding/sources.py
+++ b/src/cardamomtiller/forwarding/sources.py
@@ -23,7 +23,7 @@
     Attributes
     ----------
     stale_ms
-        Age beyond which a peer's picture is not good enough.
+        Age beyond which a peer's replica is not good enough.
     avoided_ms
         How long a source that failed is not asked again if there is another.
     """
@@ -49,7 +49,7 @@
         self._avoided_until_ms[host] = now_ms + self._options.avoided_ms
 
     def is_stale(self, age_ms: float) -> bool:
-        """Return whether a picture of an age is too old to rely on."""
+        """Return whether a replica of an age is too old to rely on."""
         return age_ms > self._options.stale_ms
 
     def choose(self, peers: Iterable[Member], now_ms: float) -> Member:
--- a/src/cardamomtiller/forwarding/unknowntokens.py
+++ b/src/cardamomtiller/forwarding/unknowntokens.py
@@ -9,9 +9,9 @@
     """
     Remembers since when packets carry a token that names no upstream.
 
-    The upstream of an unknown token may be too new for the picture of this
+    The upstream of an unknown token may be too new for the replica of this
     instance, or its entry may have lapsed while the source was away. It is gone only
-    if the source has confirmed the picture all the while and for long enough.
+    if the source has confirmed the replica all the while and for long enough.
     """
 
     def __init__(self, gone_after_ms: float) -> None:
@@ -29,7 +29,7 @@
         token
             Token of the packet.
         steady_for_ms
-            How long the source has confirmed the picture without a gap.
+            How long the source has confirmed the replica without a gap.
         now_ms
             Present time.
 
--- a/tests/features/forwarding_fleet.feature
+++ b/tests/features/forwarding_fleet.feature
@@ -7,14 +7,14 @@
   Scenario: A reader that fails holds back changes
     Then an instance goes to the next member when its reader fails
     And an instance that knows nobody reads the source
-    And a picture that is too old counts as a failure
+    And a replica that is too old counts as a failure
 
   Scenario: A reader that left is still asked
     Then a member that announces its leaving is forgotten at once
     And a late rumour does not bring a member back that has left
 
   Scenario: An old batch brings back what was removed
-    Then changes that the picture already has are ignored
+    Then changes that the replica already has are ignored
     And a removed record stays removed when an older list arrives
     And changes with a gap before them are refused
 
@@ -22,7 +22,7 @@
     Then a peer that is behind gets the removals it lacks
     And a peer that is far behind gets the complete list
 
-  Scenario: A picture that nobody confirms looks fresh
+  Scenario: A replica that nobody confirms looks fresh
     Then a gap in the confirmations starts the steady time anew
 
   Scenario: A malformed record takes the others with it
--- a/tests/features/steps/forwarding_fleet_steps.py
+++ b/tests/features/steps/forwarding_fleet_steps.py
@@ -28,7 +28,6 @@
 )
 from cardamomtiller.forwarding.member import Member
 from cardamomtiller.forwarding.packet import Token
-from cardamomtiller.forwarding.picture import LONGEST_GAP_MS, REMOVALS_KEPT, Picture
 from cardamomtiller.forwarding.records import (
     NO_REVISION,
     Batch,
@@ -37,6 +36,7 @@
     Record,
     RecordDecoder,
 )
+from cardamomtiller.forwarding.replica import LONGEST_GAP_MS, REMOVALS_KEPT, Replica
 from cardamomtiller.forwarding.sources import SourceChoice, SourceOptions
 from cardamomtiller.ids import UpstreamId
 from tests import forwarding_rig as rig
@@ -64,18 +64,18 @@
         return rig.entry(record.key, is_ready=record.content == 'ready')
 
 
-def make_picture():
-    """Return a forwarder without upstreams, and its picture."""
+def make_replica():
+    """Return a forwarder without upstreams, and its replica."""
     forwarder = rig.make_forwarder(())
-    return forwarder, Picture(
+    return forwarder, Replica(
         forwarder, Decoder(), forwarder._reporter._log, forwarder._reporter.meters
     )
 
 
-def listed(picture, names, revision=10):
+def listed(replica, names, revision=10):
     """Apply a complete list."""
     records = tuple(Record(name, revision, 'ready') for name in names)
-    return picture.apply(Batch(None, revision, records), 0, 0)
+    return replica.apply(Batch(None, revision, records), 0, 0)
 
 
 def pool_of(forwarder):
@@ -140,7 +140,7 @@
     assert choice.choose([], 1) == me
 
 
-@then('a picture that is too old counts as a failure')
+@then('a replica that is too old counts as a failure')
 def step_stale(context):
     choice = SourceChoice(member(1), SOURCES)
     assert choice.is_stale(SOURCES.stale_ms + 1)
@@ -175,41 +175,41 @@
     assert table.find(other.me.host) is not None
 
 
-@then('changes that the picture already has are ignored')
+@then('changes that the replica already has are ignored')
 def step_known_changes(context):
-    forwarder, picture = make_picture()
-    listed(picture, ('u-1', 'u-2'), revision=10)
+    forwarder, replica = make_replica()
+    listed(replica, ('u-1', 'u-2'), revision=10)
     removal = (Record('u-1', 12, None),)
-    assert picture.apply(Batch(10, 12, removal), 0, 0)
+    assert replica.apply(Batch(10, 12, removal), 0, 0)
     older = (Record('u-1', 11, 'ready'),)
-    assert picture.apply(Batch(10, 12, older), 0, 0)
+    assert replica.apply(Batch(10, 12, older), 0, 0)
     assert pool_of(forwarder) == {'u-2'}
 
 
 @then('a removed record stays removed when an older list arrives')
 def step_older_list(context):
-    forwarder, picture = make_picture()
-    listed(picture, ('u-1', 'u-2'), revision=10)
-    picture.apply(Batch(10, 12, (Record('u-1', 12, None),)), 0, 0)
-    assert not listed(picture, ('u-1', 'u-2'), revision=11)
+    forwarder, replica = make_replica()
+    listed(replica, ('u-1', 'u-2'), revision=10)
+    replica.apply(Batch(10, 12, (Record('u-1', 12, None),)), 0, 0)
+    assert not listed(replica, ('u-1', 'u-2'), revision=11)
     assert pool_of(forwarder) == {'u-2'}
 
 
 @then('changes with a gap before them are refused')
 def step_gap(context):
-    forwarder, picture = make_picture()
-    listed(picture, ('u-1',), revision=10)
-    assert not picture.apply(Batch(11, 12, (Record('u-2', 12, 'ready'),)), 0, 0)
-    assert picture.revision == 10
+    forwarder, replica = make_replica()
+    listed(replica, ('u-1',), revision=10)
+    assert not replica.apply(Batch(11, 12, (Record('u-2', 12, 'ready'),)), 0, 0)
+    assert replica.revision == 10
     assert pool_of(forwarder) == {'u-1'}
 
 
 @then('a peer that is behind gets the removals it lacks')
 def step_peer_removals(context):
-    _, reader = make_picture()
-    follower_forwarder, follower = make_picture()
-    for picture in (reader, follower):
-        listed(picture, ('u-1', 'u-2'), revision=10)
+    _, reader = make_replica()
+    follower_forwarder, follower = make_replica()
+    for replica in (reader, follower):
+        listed(replica, ('u-1', 'u-2'), revision=10)
     changes = (Record('u-1', 11, None), Record('u-3', 12, 'ready'))
     reader.apply(Batch(10, 12, changes), 0, 0)
     batch = reader.changes_after(follower.revision)
@@ -220,7 +220,7 @@
 
 @then('a peer that is far behind gets the complete list')
 def step_peer_far_behind(context):
-    _, reader = make_picture()
+    _, reader = make_replica()
     listed(reader, ('u-1',), revision=10)
     assert reader.changes_after(5).after is None
     assert reader.changes_after(NO_REVISION).after is None
@@ -238,24 +238,24 @@
 
 @then('a gap in the confirmations starts the steady time anew')
 def step_steady(context):
-    _, picture = make_picture()
-    listed(picture, ('u-1',))
+    _, replica = make_replica()
+    listed(replica, ('u-1',))
     for now_ms in range(0, 5000, 500):
-        picture.apply(Batch(10, 10, ()), now_ms, now_ms)
-    assert picture.steady_for_ms(4600) == 4600
+        replica.apply(Batch(10, 10, ()), now_ms, now_ms)
+    assert replica.steady_for_ms(4600) == 4600
     later_ms = 4500 + LONGEST_GAP_MS + 1
-    assert picture.steady_for_ms(later_ms) == 0
-    picture.apply(Batch(10, 10, ()), later_ms, later_ms)
-    assert picture.steady_for_ms(later_ms + 100) == 100
+    assert replica.steady_for_ms(later_ms) == 0
+    replica.apply(Batch(10, 10, ()), later_ms, later_ms)
+    assert replica.steady_for_ms(later_ms + 100) == 100
 
 
 @then('a malformed record hides one upstream and leaves the others')
 def step_malformed(context):
-    forwarder, picture = make_picture()
-    listed(picture, ('u-1', 'u-2'), revision=10)
-    picture.apply(Batch(10, 11, (Record('u-1', 11, 'noise'),)), 0, 0)
+    forwarder, replica = make_replica()
+    listed(replica, ('u-1', 'u-2'), revision=10)
+    replica.apply(Batch(10, 11, (Record('u-1', 11, 'noise'),)), 0, 0)
     assert pool_of(forwarder) == {'u-2'}
-    picture.apply(Batch(11, 12, (Record('u-1', 12, 'ready'),)), 0, 0)
+    replica.apply(Batch(11, 12, (Record('u-1', 12, 'ready'),)), 0, 0)
     assert pool_of(forwarder) == {'u-1', 'u-2'}
 
 
--- a/tests/features/steps/forwarding_live_steps.py
+++ b/tests/features/steps/forwarding_live_steps.py
@@ -12,8 +12,8 @@
 from tools.packet_deployment import Deployment
 from tools.packet_soak import Soak
 
-LANE = 81
-PAUSE_LANE = 82
+SUBNET = 81
+PAUSE_SUBNET = 82
 SOAK_SEED = 7
 SOAK_S = 6
 # The bound of the platform for a change to be in force.
@@ -23,7 +23,7 @@
 
 @given('a deployment of 4 instances and 6 upstreams')
 def step_deployment(context):
-    deployment = Deployment({'a': 2, 'b': 2}, {'orders': 4, 'patterns': 2}, LANE)
+    deployment = Deployment({'a': 2, 'b': 2}, {'orders': 4, 'patterns': 2}, SUBNET)
     context.add_cleanup(deployment.close)
     deployment.wait_until_ready()
     context.deployment = deployment
@@ -173,7 +173,7 @@
 
 @then('users of one of them that dies go on, and no other flow is reset')
 def step_copied_opens(context):
-    deployment = Deployment({'a': 1}, {'orders': 4}, PAUSE_LANE)
+    deployment = Deployment({'a': 1}, {'orders': 4}, PAUSE_SUBNET)
     context.add_cleanup(deployment.close)
     deployment.wait_until_ready()
     ends = deployment.ends
--- a/tools/packet_demo.py
+++ b/tools/packet_demo.py
@@ -14,7 +14,7 @@
 
 from tools.packet_deployment import Attempt, Deployment
 
-LANE = 71
+SUBNET = 71
 PHASE_S = 4.0
 REQUESTS_PER_S = 50
 MS_PER_S = 1000
@@ -53,7 +53,7 @@
 def main() -> None:
     """Run all phases and print the table."""
     argparse.ArgumentParser(description=__doc__).parse_args()
-    deployment = Deployment({'a': 2, 'b': 2}, {'orders': 4, 'patterns': 2}, LANE)
+    deployment = Deployment({'a': 2, 'b': 2}, {'orders': 4, 'patterns': 2}, SUBNET)
     host = next(iter(deployment.hosts))
 
     def kill() -> None:
--- a/tools/packet_deployment.py
+++ b/tools/packet_deployment.py
@@ -395,7 +395,7 @@
         self,
         domains: dict[str, int],
         services: dict[str, int],
-        lane: int,
+        subnet: int,
         links: Links | None = None,
     ) -> None:
         """
@@ -407,7 +407,7 @@
             Number of instances of each failure domain.
         services
             Number of upstreams of each service.
-        lane
+        subnet
             Second byte of all addresses, so that deployments can run beside each
             other.
         links
@@ -420,12 +420,12 @@
                 f'i-{index * 100 + number + 1:08x}',
                 service,
                 names[number % len(names)],
-                f'127.{lane}.{UPSTREAM_NETWORK + index}.{number + 1}',
+                f'127.{subnet}.{UPSTREAM_NETWORK + index}.{number + 1}',
             )
             for index, (service, count) in enumerate(services.items())
             for number in range(count)
         ]
-        self.ends = Ends(f'127.{lane}.1.1', self.upstreams)
+        self.ends = Ends(f'127.{subnet}.1.1', self.upstreams)
         self.routes = {443 + index: service for index, service in enumerate(services)}
         self.ends.services = self.routes
         self._version = 0
@@ -433,16 +433,16 @@
         for upstream in self.upstreams:
             self.store.put(f'servers/{upstream.name}', upstream.entry())
         self.hosts = {
-            f'127.{lane}.{INSTANCE_NETWORK + index}.{number + 1}': name
+            f'127.{subnet}.{INSTANCE_NETWORK + index}.{number + 1}': name
             for index, (name, count) in enumerate(domains.items())
             for number in range(count)
         }
         self._store_addresses = {
-            host: links.open(host, f'127.{lane}.{LINK_NETWORK}.1', self.store.address)
+            host: links.open(host, f'127.{subnet}.{LINK_NETWORK}.1', self.store.address)
             for host in (self.hosts if links else ())
             if links
         }
-        self._lane = lane
+        self._subnet = subnet
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.logs = {host: self._log_path(host) for host in self.hosts}
         for host in self.hosts:
@@ -574,6 +574,6 @@
         return path
 
     def _folder(self) -> Path:
-        folder = ROOT / 'build' / 'packet-deployment' / str(self._lane)
+        folder = ROOT / 'build' / 'packet-deployment' / str(self._subnet)
         folder.mkdir(parents=True, exist_ok=True)
         return folder
--- a/tools/packet_soak.py
+++ b/tools/packet_soak.py
@@ -26,8 +26,8 @@
 DOMAINS = {'a': 2, 'b': 2}
 SERVICES = {'orders': 4, 'patterns': 3}
 LINK_PORT = 9100
-FIRST_LANE = 100
-LANES = 100
+FIRST_SUBNET = 100
+SUBNETS = 100
 # Bounds of the platform: a change is in force, and an instance is in touch again.
 CHANGE_S = 3.0
 TOUCH_S = 4.0
@@ -125,8 +125,8 @@
         self._seconds = seconds
         self._links = ProxyLinks(seed)
         # Each seed of a series has addresses of its own.
-        lane = FIRST_LANE + seed % LANES
-        self._deployment = Deployment(DOMAINS, SERVICES, lane, self._links)
+        subnet = FIRST_SUBNET + seed % SUBNETS
+        self._deployment = Deployment(DOMAINS, SERVICES, subnet, self._links)
         self._hosts = tuple(self._deployment.hosts)
         self._disturbed_s = dict.fromkeys(self._hosts, 0.0)
         self._drained_s: dict[str, float] = {}
