--- a/src/cardamomtiller/forwarding/following.py
+++ b/src/cardamomtiller/forwarding/following.py
@@ -59,8 +59,8 @@
     """
     Reads records in a thread of its own, from the source or from a peer.
 
-    The packet path sets ``peers``, takes the results with ``take`` and is woken for
-    each.
+    The packet path sets ``peers``, takes the results with ``take_all`` and is woken
+    for each.
     """
 
     def __init__(
--- a/src/cardamomtiller/forwarding/placement.py
+++ b/src/cardamomtiller/forwarding/placement.py
@@ -121,7 +121,7 @@
     options
         Weights.
     hashed
-        Hash of the flow, from which the draws follow.
+        Hash of the flow, which orders upstreams of equal cost.
     now_ms
         Present time.
     excluded
