Remove state that nothing reads, and say peak

Cause: the start of a silence and the opening time of a flow were written and never read since suspicions go by counts. No decision changes.

--- a/src/cardamomtiller/forwarding/flows.py
+++ b/src/cardamomtiller/forwarding/flows.py
@@ -44,7 +44,6 @@
         'acknowledged',
         'is_opened',
         'key',
-        'opened_ms',
         'payload_ms',
         'requests',
         'retransmissions',
@@ -58,7 +57,6 @@
         """Start a flow that has carried nothing."""
         self.key = key
         self.upstream = upstream
-        self.opened_ms = now_ms
         self.payload_ms = now_ms
         self.seen_ms = now_ms
         self.is_opened = False
--- a/src/cardamomtiller/forwarding/forwarder.py
+++ b/src/cardamomtiller/forwarding/forwarder.py
@@ -197,7 +197,7 @@
         """
         Return whether the rest of a pool can take the flows of a gone upstream.
 
-        The load this answers: a failure domain that is cut off at the crest of a
+        The load this answers: a failure domain that is cut off at the peak of a
         swing. Its upstreams would get the users of all others at once, and everybody
         would be late; so users return as fast as there are slots, and after two
         retransmissions in any case.
--- a/src/cardamomtiller/forwarding/load.py
+++ b/src/cardamomtiller/forwarding/load.py
@@ -62,7 +62,6 @@
         'others_unanswered',
         'silent_flows',
         'silent_opens',
-        'silent_since_ms',
         'tried_ms',
     )
 
@@ -78,7 +77,6 @@
         self.answered_ms: float = 0
         self.silent_opens = 0
         self.silent_flows = 0
-        self.silent_since_ms: float | None = None
         self.tried_ms: float = 0
         self._busy_total_ms: float = 0
         self._busy_since_ms: float = 0
@@ -137,17 +135,14 @@
         self.heard_ms = now_ms
         self.silent_opens = 0
         self.silent_flows = 0
-        self.silent_since_ms = None
 
-    def miss_open(self, now_ms: float) -> None:
+    def miss_open(self) -> None:
         """Record an opening packet that got no answer in time."""
         self.silent_opens += 1
-        self._start_silence(now_ms)
 
-    def miss_answer(self, now_ms: float) -> None:
+    def miss_answer(self) -> None:
         """Record a flow that sent its request again."""
         self.silent_flows += 1
-        self._start_silence(now_ms)
 
     def is_silent(self, options: SilenceOptions) -> bool:
         """Return whether enough flows have had no answer."""
@@ -156,10 +151,6 @@
             or self.silent_flows >= options.retransmissions
         )
 
-    def _start_silence(self, now_ms: float) -> None:
-        if self.silent_since_ms is None:
-            self.silent_since_ms = now_ms
-
 
 class LoadBook:
     """Estimates for all upstreams by token."""
--- a/src/cardamomtiller/forwarding/loadsharing.py
+++ b/src/cardamomtiller/forwarding/loadsharing.py
@@ -1,6 +1,6 @@
 """What instances tell each other about the load that they put on the upstreams.
 
-The load this answers: the crest of a demand swing. An instance sees only its own
+The load this answers: the peak of a demand swing. An instance sees only its own
 flows, a small part of the requests of an upstream, and would place flows on
 upstreams that the flows of others keep busy. In a failure domain every instance
 reports to the first one by rank, which answers with the sum of the others. The first
--- a/src/cardamomtiller/forwarding/observing.py
+++ b/src/cardamomtiller/forwarding/observing.py
@@ -32,7 +32,7 @@
         flow = self._flows.find(packet.flow)
         if flow is None or not packet.copy:
             return None
-        self.loads.of(flow.upstream.token).miss_open(now_ms)
+        self.loads.of(flow.upstream.token).miss_open()
         self._suspect(flow.upstream, 'open_unanswered', now_ms)
         self._reporter.meters.count('opens_repeated')
         return flow.upstream.entry.upstream
@@ -123,7 +123,7 @@
     def _note_retransmission(self, flow: Flow, now_ms: float) -> None:
         load = self.loads.of(flow.upstream.token)
         if flow.retransmissions == 1:
-            load.miss_answer(now_ms)
+            load.miss_answer()
         elif flow.retransmissions == 2:
             load.add_unanswered(now_ms)
         if self._is_silence_suspicious(flow, load):
--- a/src/cardamomtiller/forwarding/placement.py
+++ b/src/cardamomtiller/forwarding/placement.py
@@ -1,6 +1,6 @@
 """Choice of the upstream for a new flow.
 
-The load this answers: the crest of a demand swing, when random choices fill the
+The load this answers: the peak of a demand swing, when random choices fill the
 queue of one upstream while slots of others are free, and the seconds after an
 upstream fails, when new flows must not go to it.
 """
