--- /dev/null
+++ b/src/cardamomtiller/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""What each client account may use, divided among the instances."""
--- a/src/cardamomtiller/admission.py
+++ b/src/cardamomtiller/accounts/admission.py
@@ -6,11 +6,11 @@
 
 from returns.result import Failure, Result, Success
 
-from cardamomtiller.allowance import NOTHING, Allowance, whole
-from cardamomtiller.bucket import TokenBucket
+from cardamomtiller.accounts.allowance import NOTHING, Allowance, whole
+from cardamomtiller.accounts.bucket import TokenBucket
+from cardamomtiller.accounts.lease import LeaseAgent
+from cardamomtiller.accounts.traffic import Traffic
 from cardamomtiller.identity import MS_PER_S, CustomerId
-from cardamomtiller.lease import LeaseAgent
-from cardamomtiller.traffic import Traffic
 from cardamomtiller.wire_pb2 import Reason
 
 # A refused customer is told to wait at most this long; its share may have grown
--- a/src/cardamomtiller/allowance.py
+++ b/src/cardamomtiller/accounts/allowance.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from cardamomtiller.document import PlanRow
+from cardamomtiller.lists.document import PlanRow
 from cardamomtiller.peer_pb2 import AllowanceVector
 
 # Rounding errors of single precision on the wire must not cost a whole unit.
--- a/src/cardamomtiller/grantor.py
+++ b/src/cardamomtiller/accounts/grantor.py
@@ -10,7 +10,7 @@
     RepeatedScalarFieldContainer,
 )
 
-from cardamomtiller.allowance import (
+from cardamomtiller.accounts.allowance import (
     NOTHING,
     WIRE_ROUNDING,
     Allowance,
--- a/src/cardamomtiller/holder.py
+++ b/src/cardamomtiller/accounts/holder.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, replace
 
-from cardamomtiller.allowance import NOTHING, Allowance, LeaseTimes
-from cardamomtiller.grantor import (
+from cardamomtiller.accounts.allowance import NOTHING, Allowance, LeaseTimes
+from cardamomtiller.accounts.grantor import (
     Vectors,
     merge_vectors,
     write_changes,
--- a/src/cardamomtiller/lease.py
+++ b/src/cardamomtiller/accounts/lease.py
@@ -5,17 +5,17 @@
 from dataclasses import dataclass
 
 from cardamomtiller import rendezvous
-from cardamomtiller.allowance import (
+from cardamomtiller.accounts.allowance import (
     NOTHING,
     Allowance,
     LeaseTimes,
     kept_part,
     plan_allowance,
 )
-from cardamomtiller.catalog import Catalog
-from cardamomtiller.grantor import Grantor, Pool, Vectors
-from cardamomtiller.holder import Holder, Shares
+from cardamomtiller.accounts.grantor import Grantor, Pool, Vectors
+from cardamomtiller.accounts.holder import Holder, Shares
 from cardamomtiller.identity import CustomerId, DomainName, Incarnation, InstanceId
+from cardamomtiller.lists.catalog import Catalog
 from cardamomtiller.peer_pb2 import LeaseGrant, LeaseReport
 from cardamomtiller.settings_pb2 import LeaseSettings
 
--- a/src/cardamomtiller/traffic.py
+++ b/src/cardamomtiller/accounts/traffic.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from cardamomtiller.allowance import Allowance
+from cardamomtiller.accounts.allowance import Allowance
 from cardamomtiller.identity import MS_PER_S
 
 BIN_MS = 250.0
--- a/src/cardamomtiller/cli.py
+++ b/src/cardamomtiller/cli.py
@@ -14,11 +14,13 @@
 from typer.completion import get_completion_inspect_parameters, get_completion_script
 from typer.core import TyperCommand, TyperGroup
 
-from cardamomtiller import burn, burn_page, check, log, status
-from cardamomtiller.cookie import Explanation, explain_cookie
-from cardamomtiller.document import KeyRow, ObjectiveRow
+from cardamomtiller import log
+from cardamomtiller.datagrams.cookie import Explanation, explain_cookie
 from cardamomtiller.identity import MS_PER_S, Endpoint, parse_endpoint
-from cardamomtiller.settings import load_settings
+from cardamomtiller.lists import check
+from cardamomtiller.lists.document import KeyRow, ObjectiveRow
+from cardamomtiller.lists.settings import load_settings
+from cardamomtiller.operations import burn, burn_page, status
 
 PROGRAM = 'cardamomtiller'
 COMPLETION_SHELLS = ('bash', 'zsh', 'fish')
--- a/src/cardamomtiller/client.py
+++ b/src/cardamomtiller/client.py
@@ -19,16 +19,9 @@
 
 from returns.result import Failure
 
-from cardamomtiller import codec
-from cardamomtiller.codec import ChunkSender, Reassembly
-from cardamomtiller.identity import (
-    FLOW_ID_BYTES,
-    MS_PER_S,
-    Endpoint,
-    FlowId,
-    ServiceClass,
-)
-from cardamomtiller.outgoing import (
+from cardamomtiller.datagrams import codec
+from cardamomtiller.datagrams.codec import ChunkSender, Reassembly
+from cardamomtiller.datagrams.outgoing import (
     FIRST_RESEND_MS,
     LONGEST_RESEND_MS,
     Answer,
@@ -37,6 +30,13 @@
     as_answer,
     reason_text,
 )
+from cardamomtiller.identity import (
+    FLOW_ID_BYTES,
+    MS_PER_S,
+    Endpoint,
+    FlowId,
+    ServiceClass,
+)
 from cardamomtiller.wire_pb2 import (
     AnswerAck,
     Cancel,
--- /dev/null
+++ b/src/cardamomtiller/datagrams/__init__.py
@@ -0,0 +1,1 @@
+"""Form of the datagrams: encoding, sealed cookies, outgoing requests."""
--- a/src/cardamomtiller/cookie.py
+++ b/src/cardamomtiller/datagrams/cookie.py
@@ -9,8 +9,8 @@
 from google.protobuf.message import DecodeError
 from returns.result import Failure, Result, Success
 
-from cardamomtiller.document import KeyRow
 from cardamomtiller.identity import FlowId
+from cardamomtiller.lists.document import KeyRow
 from cardamomtiller.wire_pb2 import Cookie
 
 MAC_BYTES = 16
--- a/src/cardamomtiller/outgoing.py
+++ b/src/cardamomtiller/datagrams/outgoing.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from cardamomtiller.codec import ChunkSender, Reassembly
+from cardamomtiller.datagrams.codec import ChunkSender, Reassembly
 from cardamomtiller.identity import ServiceClass
 from cardamomtiller.wire_pb2 import Answer as AnswerMessage
 from cardamomtiller.wire_pb2 import AnswerStatus, Reason
--- /dev/null
+++ b/src/cardamomtiller/entrance/__init__.py
@@ -0,0 +1,1 @@
+"""Where datagrams and connections of callers enter, and where they go."""
--- a/src/cardamomtiller/dataplane.py
+++ b/src/cardamomtiller/entrance/dataplane.py
@@ -7,24 +7,11 @@
 
 from returns.result import Failure
 
-from cardamomtiller import codec
-from cardamomtiller.catalog import Catalog
-from cardamomtiller.cookie import CookieSealer
 from cardamomtiller.counter import Counters
-from cardamomtiller.document import UpstreamRow
-from cardamomtiller.entrance import DatagramSocket, Receiver
-from cardamomtiller.flowtable import ServedFlow
-from cardamomtiller.home import Arrival, HomeOutlet, ServingParts
-from cardamomtiller.identity import (
-    MS_PER_S,
-    Endpoint,
-    InstanceId,
-    Outcome,
-    ServiceName,
-    UpstreamId,
-)
-from cardamomtiller.link import LinkListener, LinkOptions, TcpLink, UpstreamLink
-from cardamomtiller.routing import (
+from cardamomtiller.datagrams import codec
+from cardamomtiller.datagrams.cookie import CookieSealer
+from cardamomtiller.entrance.entrance import DatagramSocket, Receiver
+from cardamomtiller.entrance.routing import (
     Answered,
     Dropped,
     FlowKeys,
@@ -34,9 +21,22 @@
     Router,
     RoutingView,
 )
-from cardamomtiller.selection import Load, Selection
-from cardamomtiller.selection import Options as SelectionOptions
-from cardamomtiller.serving import ServedUpstream
+from cardamomtiller.entrance.selection import Load, Selection
+from cardamomtiller.entrance.selection import Options as SelectionOptions
+from cardamomtiller.identity import (
+    MS_PER_S,
+    Endpoint,
+    InstanceId,
+    Outcome,
+    ServiceName,
+    UpstreamId,
+)
+from cardamomtiller.lists.catalog import Catalog
+from cardamomtiller.lists.document import UpstreamRow
+from cardamomtiller.serving.flowtable import ServedFlow
+from cardamomtiller.serving.home import Arrival, HomeOutlet, ServingParts
+from cardamomtiller.serving.link import LinkListener, LinkOptions, TcpLink, UpstreamLink
+from cardamomtiller.serving.serving import ServedUpstream
 from cardamomtiller.settings_pb2 import Settings
 from cardamomtiller.wire_pb2 import (
     Address,
--- a/src/cardamomtiller/relay.py
+++ b/src/cardamomtiller/entrance/relay.py
@@ -12,10 +12,7 @@
 
 from loguru import logger
 
-from cardamomtiller import ini
-from cardamomtiller.catalog import Catalog
 from cardamomtiller.counter import Counters
-from cardamomtiller.document import UpstreamRow
 from cardamomtiller.finding import Finding, Findings, Place
 from cardamomtiller.identity import (
     MS_PER_S,
@@ -26,6 +23,9 @@
     ServiceName,
     UpstreamId,
 )
+from cardamomtiller.lists import ini
+from cardamomtiller.lists.catalog import Catalog
+from cardamomtiller.lists.document import UpstreamRow
 from cardamomtiller.settings_pb2 import Settings
 
 BACKLOG = 512
--- a/src/cardamomtiller/routing.py
+++ b/src/cardamomtiller/entrance/routing.py
@@ -6,10 +6,9 @@
 
 from returns.result import Failure
 
-from cardamomtiller import codec
-from cardamomtiller.catalog import Catalog
-from cardamomtiller.cookie import CookieSealer
-from cardamomtiller.document import InstanceRow, UpstreamRow
+from cardamomtiller.datagrams import codec
+from cardamomtiller.datagrams.cookie import CookieSealer
+from cardamomtiller.entrance.selection import Selection
 from cardamomtiller.identity import (
     CustomerId,
     FlowId,
@@ -18,8 +17,9 @@
     ServiceName,
     UpstreamId,
 )
-from cardamomtiller.selection import Selection
-from cardamomtiller.view import View
+from cardamomtiller.lists.catalog import Catalog
+from cardamomtiller.lists.document import InstanceRow, UpstreamRow
+from cardamomtiller.membership.view import View
 from cardamomtiller.wire_pb2 import Cookie, Packet, Reason
 
 LARGEST_HOPS = 2
--- a/src/cardamomtiller/selection.py
+++ b/src/cardamomtiller/entrance/selection.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
-from cardamomtiller.document import UpstreamRow
 from cardamomtiller.identity import FlowId, OperatorState, Outcome, UpstreamId
+from cardamomtiller.lists.document import UpstreamRow
 from cardamomtiller.settings_pb2 import SelectionSettings
 from cardamomtiller.wire_pb2 import UpstreamLoad
 
--- a/src/cardamomtiller/instance.py
+++ b/src/cardamomtiller/instance.py
@@ -13,18 +13,19 @@
 
 from loguru import logger
 
-from cardamomtiller import ini, membershipoptions, reader
-from cardamomtiller.admission import Admission, Permit
-from cardamomtiller.allowance import NOTHING
-from cardamomtiller.assignment import OwnerTable
-from cardamomtiller.catalog import Catalog
-from cardamomtiller.cookie import CookieSealer
+from cardamomtiller.accounts.admission import Admission, Permit
+from cardamomtiller.accounts.allowance import NOTHING
+from cardamomtiller.accounts.lease import LeaseAgent
 from cardamomtiller.counter import Counters, StatsdSender
-from cardamomtiller.dataplane import DataPlane
-from cardamomtiller.document import InstanceRow, UpstreamRow
-from cardamomtiller.exchange import LeasePart, LoadPart
-from cardamomtiller.exchangeparts import ControlParts
-from cardamomtiller.home import HomeIdentity, ServingParts
+from cardamomtiller.datagrams.cookie import CookieSealer
+from cardamomtiller.entrance.dataplane import DataPlane
+from cardamomtiller.entrance.relay import (
+    FewestConnections,
+    Relay,
+    RelayOptions,
+    StreamLimit,
+)
+from cardamomtiller.entrance.routing import RoutingView
 from cardamomtiller.identity import (
     MS_PER_S,
     CustomerId,
@@ -39,20 +40,26 @@
     parse_endpoint,
 )
 from cardamomtiller.invariant import Invariants
-from cardamomtiller.lease import LeaseAgent
+from cardamomtiller.lists import ini
+from cardamomtiller.lists.catalog import Catalog
+from cardamomtiller.lists.document import InstanceRow, UpstreamRow
+from cardamomtiller.lists.snapshot import SnapshotStore
 from cardamomtiller.log import LogFormat, set_up_log
-from cardamomtiller.membership import Membership
-from cardamomtiller.peer import Peer, PeerOptions
-from cardamomtiller.reader import Intake, Reader, choose_role
-from cardamomtiller.record import DuplicateRecord
-from cardamomtiller.relay import FewestConnections, Relay, RelayOptions, StreamLimit
-from cardamomtiller.routing import RoutingView
-from cardamomtiller.rumor import make_incarnation
-from cardamomtiller.serving import ServedUpstream
+from cardamomtiller.membership import membershipoptions
+from cardamomtiller.membership.assignment import OwnerTable
+from cardamomtiller.membership.membership import Membership
+from cardamomtiller.membership.rumor import make_incarnation
+from cardamomtiller.operations.status import Json, StatusProvider, StatusServer
+from cardamomtiller.peering import reader
+from cardamomtiller.peering.exchange import LeasePart, LoadPart
+from cardamomtiller.peering.exchangeparts import ControlParts
+from cardamomtiller.peering.peer import Peer, PeerOptions
+from cardamomtiller.peering.reader import Intake, Reader, choose_role
+from cardamomtiller.peering.source import open_source
+from cardamomtiller.serving.home import HomeIdentity, ServingParts
+from cardamomtiller.serving.record import DuplicateRecord
+from cardamomtiller.serving.serving import ServedUpstream
 from cardamomtiller.settings_pb2 import Settings
-from cardamomtiller.snapshot import SnapshotStore
-from cardamomtiller.source import open_source
-from cardamomtiller.status import Json, StatusProvider, StatusServer
 
 CONTROL_TICK_MS = 25
 # Callers and peers need this long to learn that a stopping instance has moved
--- a/src/cardamomtiller/catalog.py
+++ b/src/cardamomtiller/lists/catalog.py
@@ -3,16 +3,6 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
-from cardamomtiller.document import (
-    CustomerRow,
-    InstanceRow,
-    KeyRow,
-    ObjectiveRow,
-    PlanRow,
-    Row,
-    ServiceRow,
-    UpstreamRow,
-)
 from cardamomtiller.finding import Finding, Findings, Place
 from cardamomtiller.identity import (
     CustomerId,
@@ -24,6 +14,16 @@
     ServiceName,
     UpstreamId,
 )
+from cardamomtiller.lists.document import (
+    CustomerRow,
+    InstanceRow,
+    KeyRow,
+    ObjectiveRow,
+    PlanRow,
+    Row,
+    ServiceRow,
+    UpstreamRow,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cardamomtiller/check.py
+++ b/src/cardamomtiller/lists/check.py
@@ -6,9 +6,18 @@
 
 from returns.result import Failure, Success
 
-from cardamomtiller import ini
-from cardamomtiller.catalog import Catalog, build_catalog, check_catalog
-from cardamomtiller.document import (
+from cardamomtiller.finding import Finding, Findings, Place
+from cardamomtiller.identity import (
+    DocumentName,
+    Endpoint,
+    InstanceId,
+    OperatorState,
+    ServiceName,
+    Version,
+)
+from cardamomtiller.lists import ini
+from cardamomtiller.lists.catalog import Catalog, build_catalog, check_catalog
+from cardamomtiller.lists.document import (
     CUSTOMERS,
     INSTANCES_PREFIX,
     KEYS,
@@ -21,16 +30,7 @@
     UpstreamRow,
     parse_document,
 )
-from cardamomtiller.finding import Finding, Findings, Place
-from cardamomtiller.identity import (
-    DocumentName,
-    Endpoint,
-    InstanceId,
-    OperatorState,
-    ServiceName,
-    Version,
-)
-from cardamomtiller.settings import load_settings
+from cardamomtiller.lists.settings import load_settings
 from cardamomtiller.settings_pb2 import Settings
 
 LIST_SUFFIX = '.ini'
--- a/src/cardamomtiller/document.py
+++ b/src/cardamomtiller/lists/document.py
@@ -7,7 +7,6 @@
 from google.protobuf.message import Message
 from returns.result import Failure, Result, Success
 
-from cardamomtiller import ini
 from cardamomtiller.document_pb2 import (
     CustomerSection,
     DomainSection,
@@ -34,6 +33,7 @@
     Version,
     parse_endpoint,
 )
+from cardamomtiller.lists import ini
 
 SectionT = TypeVar('SectionT', bound=Message)
 
--- a/src/cardamomtiller/settings.py
+++ b/src/cardamomtiller/lists/settings.py
@@ -4,8 +4,8 @@
 
 from returns.result import Failure, Result, Success
 
-from cardamomtiller import ini
 from cardamomtiller.finding import Finding, Findings, Place
+from cardamomtiller.lists import ini
 from cardamomtiller.settings_pb2 import Settings
 
 
--- a/src/cardamomtiller/snapshot.py
+++ b/src/cardamomtiller/lists/snapshot.py
@@ -7,10 +7,10 @@
 
 from returns.result import Failure, Result, Success
 
-from cardamomtiller.catalog import Catalog, build_catalog
-from cardamomtiller.document import Document, Row, parse_document
 from cardamomtiller.finding import Finding
 from cardamomtiller.identity import DocumentName, Version
+from cardamomtiller.lists.catalog import Catalog, build_catalog
+from cardamomtiller.lists.document import Document, Row, parse_document
 
 DIGEST_BYTES = 8
 
--- /dev/null
+++ b/src/cardamomtiller/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances are alive, and which of them owns an upstream."""
--- a/src/cardamomtiller/assignment.py
+++ b/src/cardamomtiller/membership/assignment.py
@@ -6,10 +6,10 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from cardamomtiller.document import UpstreamRow
 from cardamomtiller.identity import DomainName, InstanceId, UpstreamId
+from cardamomtiller.lists.document import UpstreamRow
+from cardamomtiller.membership.view import View
 from cardamomtiller.rendezvous import score
-from cardamomtiller.view import View
 
 # Largest number of upstreams on one instance as a multiple of the mean.
 LOAD_FACTOR = 1.25
--- a/src/cardamomtiller/gossip.py
+++ b/src/cardamomtiller/membership/gossip.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterator
 
 from cardamomtiller.identity import InstanceId
-from cardamomtiller.membershipoptions import MembershipOptions
-from cardamomtiller.membertable import MemberTable
+from cardamomtiller.membership.membershipoptions import MembershipOptions
+from cardamomtiller.membership.membertable import MemberTable
+from cardamomtiller.membership.rumor import DOUBTED
 from cardamomtiller.peer_pb2 import MemberRumor
-from cardamomtiller.rumor import DOUBTED
 
 RUMORS_PER_MESSAGE = 256
 # A rumour is sent this often per doubling of the fleet; losses that remain are
--- a/src/cardamomtiller/lateness.py
+++ b/src/cardamomtiller/membership/lateness.py
@@ -1,6 +1,6 @@
 """Lateness: an instance that was paused must not use its authority."""
 
-from cardamomtiller.membershipoptions import MembershipOptions
+from cardamomtiller.membership.membershipoptions import MembershipOptions
 
 
 class Lateness:
--- a/src/cardamomtiller/membership.py
+++ b/src/cardamomtiller/membership/membership.py
@@ -4,15 +4,14 @@
 from collections.abc import Iterable, Mapping
 
 from cardamomtiller.counter import Counters
-from cardamomtiller.document import InstanceRow
-from cardamomtiller.gossip import NEW_PEER_MS, RUMORS_PER_MESSAGE, Gossip
 from cardamomtiller.identity import Incarnation, InstanceId
-from cardamomtiller.lateness import Lateness
-from cardamomtiller.membershipoptions import MembershipOptions
-from cardamomtiller.membertable import MemberRecord, MemberTable
-from cardamomtiller.peer_pb2 import MemberRumor, MembershipDelta
-from cardamomtiller.probing import ProbeSchedule
-from cardamomtiller.rumor import (
+from cardamomtiller.lists.document import InstanceRow
+from cardamomtiller.membership.gossip import NEW_PEER_MS, RUMORS_PER_MESSAGE, Gossip
+from cardamomtiller.membership.lateness import Lateness
+from cardamomtiller.membership.membershipoptions import MembershipOptions
+from cardamomtiller.membership.membertable import MemberRecord, MemberTable
+from cardamomtiller.membership.probing import ProbeSchedule
+from cardamomtiller.membership.rumor import (
     DOUBTED,
     INCARNATION_RANDOM_BITS,
     PRECEDENCE,
@@ -21,8 +20,9 @@
     is_in_range,
     make_incarnation,
 )
-from cardamomtiller.topology import Topology
-from cardamomtiller.view import InstanceState, View
+from cardamomtiller.membership.topology import Topology
+from cardamomtiller.membership.view import InstanceState, View
+from cardamomtiller.peer_pb2 import MemberRumor, MembershipDelta
 
 # Failed probes by one observer before it may declare a death.
 FAILURES_TO_DEATH = 2
--- a/src/cardamomtiller/membertable.py
+++ b/src/cardamomtiller/membership/membertable.py
@@ -4,7 +4,6 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-from cardamomtiller.document import InstanceRow
 from cardamomtiller.identity import (
     DomainName,
     Incarnation,
@@ -12,9 +11,10 @@
     OperatorState,
     RegionName,
 )
+from cardamomtiller.lists.document import InstanceRow
+from cardamomtiller.membership.rumor import UNHEARD, checksum_rumor, wire_state
+from cardamomtiller.membership.view import InstanceState, Member, View
 from cardamomtiller.peer_pb2 import MemberRumor
-from cardamomtiller.rumor import UNHEARD, checksum_rumor, wire_state
-from cardamomtiller.view import InstanceState, Member, View
 
 
 @dataclass(slots=True)
--- a/src/cardamomtiller/probing.py
+++ b/src/cardamomtiller/membership/probing.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable, Iterator, Mapping
 
 from cardamomtiller.identity import InstanceId
-from cardamomtiller.membershipoptions import MembershipOptions
-from cardamomtiller.membertable import MemberTable
+from cardamomtiller.membership.membershipoptions import MembershipOptions
+from cardamomtiller.membership.membertable import MemberTable
 
 # Fleet-wide probes per probe interval of an instance that counts as lost.
 LOST_PROBES = 2
--- a/src/cardamomtiller/rumor.py
+++ b/src/cardamomtiller/membership/rumor.py
@@ -3,9 +3,9 @@
 import hashlib
 
 from cardamomtiller.identity import Incarnation
+from cardamomtiller.membership.view import InstanceState
 from cardamomtiller.peer_pb2 import InstanceState as WireState
 from cardamomtiller.peer_pb2 import MemberRumor
-from cardamomtiller.view import InstanceState
 
 INCARNATION_RANDOM_BITS = 20
 CHECKSUM_BYTES = 4
--- a/src/cardamomtiller/topology.py
+++ b/src/cardamomtiller/membership/topology.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
-from cardamomtiller.document import InstanceRow
 from cardamomtiller.identity import DomainName, InstanceId
-from cardamomtiller.membershipoptions import MembershipOptions
+from cardamomtiller.lists.document import InstanceRow
+from cardamomtiller.membership.membershipoptions import MembershipOptions
 from cardamomtiller.rendezvous import score
 
 
--- a/src/cardamomtiller/view.py
+++ b/src/cardamomtiller/membership/view.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from cardamomtiller.document import InstanceRow
 from cardamomtiller.identity import DomainName, Incarnation, InstanceId, RegionName
+from cardamomtiller.lists.document import InstanceRow
 
 
 class InstanceState(Enum):
--- /dev/null
+++ b/src/cardamomtiller/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Reports and status for operators."""
--- a/src/cardamomtiller/burn.py
+++ b/src/cardamomtiller/operations/burn.py
@@ -8,13 +8,13 @@
 from operator import attrgetter
 from typing import Any
 
-from cardamomtiller.document import ObjectiveRow
 from cardamomtiller.identity import (
     MS_PER_S,
     CustomerId,
     ServiceClass,
     ServiceName,
 )
+from cardamomtiller.lists.document import ObjectiveRow
 
 COUNTER_PREFIX = 'sli.'
 # Burn rates at which a budget for 30 days is used up within about 2 and 5 days;
--- a/src/cardamomtiller/burn_page.py
+++ b/src/cardamomtiller/operations/burn_page.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable, Sequence
 from xml.etree import ElementTree as Xml
 
-from cardamomtiller.burn import TITLES, Alert, BurnOptions, BurnRow, cells
 from cardamomtiller.identity import MS_PER_S
+from cardamomtiller.operations.burn import TITLES, Alert, BurnOptions, BurnRow, cells
 
 PLOT_WIDTH = 720
 PLOT_HEIGHT = 160
--- a/src/cardamomtiller/exchange.py
+++ b/src/cardamomtiller/peering/exchange.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
-from cardamomtiller.document import UpstreamRow
-from cardamomtiller.exchangeparts import ExchangePart
+from cardamomtiller.accounts.lease import LeaseAgent
 from cardamomtiller.identity import InstanceId, ServiceName, UpstreamId
-from cardamomtiller.lease import LeaseAgent
+from cardamomtiller.lists.document import UpstreamRow
 from cardamomtiller.peer_pb2 import Exchange, LeaseGrant, LeaseReport, ServedLoad
+from cardamomtiller.peering.exchangeparts import ExchangePart
 from cardamomtiller.wire_pb2 import UpstreamLoad
 
 LOADS_INTERVAL_MS = 1000
--- a/src/cardamomtiller/exchangeparts.py
+++ b/src/cardamomtiller/peering/exchangeparts.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable, Iterable
 
 from cardamomtiller.identity import Incarnation, InstanceId
-from cardamomtiller.membership import Membership
+from cardamomtiller.membership.membership import Membership
 from cardamomtiller.peer_pb2 import Exchange
-from cardamomtiller.sealing import SCHEMA_VERSION
+from cardamomtiller.peering.sealing import SCHEMA_VERSION
 
 
 class ExchangePart(ABC):
--- a/src/cardamomtiller/exchanger.py
+++ b/src/cardamomtiller/peering/exchanger.py
@@ -6,11 +6,9 @@
 from returns.result import Failure, Result, Success
 
 from cardamomtiller.counter import Counters
-from cardamomtiller.exchangeparts import ExchangeParts
-from cardamomtiller.fetching import pack_documents, unpack_documents
-from cardamomtiller.gate import Gate
 from cardamomtiller.identity import DocumentName, InstanceId, Version
-from cardamomtiller.membership import Membership
+from cardamomtiller.membership.membership import Membership
+from cardamomtiller.membership.view import InstanceState
 from cardamomtiller.peer_pb2 import (
     DocumentVersion,
     Exchange,
@@ -18,8 +16,11 @@
     FetchedDocuments,
     Sealed,
 )
-from cardamomtiller.reader import Intake
-from cardamomtiller.sealing import (
+from cardamomtiller.peering.exchangeparts import ExchangeParts
+from cardamomtiller.peering.fetching import pack_documents, unpack_documents
+from cardamomtiller.peering.gate import Gate
+from cardamomtiller.peering.reader import Intake
+from cardamomtiller.peering.sealing import (
     SCHEMA_VERSION,
     Context,
     MessageKind,
@@ -27,7 +28,6 @@
     answer_context,
     fetch_context,
 )
-from cardamomtiller.view import InstanceState
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cardamomtiller/fetching.py
+++ b/src/cardamomtiller/peering/fetching.py
@@ -7,8 +7,8 @@
 from google.protobuf.message import DecodeError
 
 from cardamomtiller.counter import Counters
-from cardamomtiller.document import LARGEST_DOCUMENT_BYTES, Document
 from cardamomtiller.identity import DocumentName, Version
+from cardamomtiller.lists.document import LARGEST_DOCUMENT_BYTES, Document
 from cardamomtiller.peer_pb2 import FetchedDocuments, PublishedDocument
 
 # Documents of one answer, so that it stays under LARGEST_FETCH_BYTES.
--- a/src/cardamomtiller/gate.py
+++ b/src/cardamomtiller/peering/gate.py
@@ -7,9 +7,14 @@
 
 from cardamomtiller.counter import Counters
 from cardamomtiller.identity import MS_PER_S
-from cardamomtiller.membership import Membership
+from cardamomtiller.membership.membership import Membership
 from cardamomtiller.peer_pb2 import Exchange, FetchDocuments, Sealed
-from cardamomtiller.sealing import OLDEST_SCHEMA_VERSION, Context, MessageKind, Sealer
+from cardamomtiller.peering.sealing import (
+    OLDEST_SCHEMA_VERSION,
+    Context,
+    MessageKind,
+    Sealer,
+)
 
 # A peer needs a few exchanges a second; the rest is a fault or an attack.
 EXCHANGES_PER_S = 40
--- a/src/cardamomtiller/peer.py
+++ b/src/cardamomtiller/peering/peer.py
@@ -11,14 +11,14 @@
 from returns.result import Failure
 
 from cardamomtiller.counter import Counters
-from cardamomtiller.exchangeparts import ExchangeParts
-from cardamomtiller.exchanger import Exchanger
-from cardamomtiller.fetching import FetchGuard
 from cardamomtiller.identity import MS_PER_S, Endpoint, InstanceId
-from cardamomtiller.membership import Membership
+from cardamomtiller.membership.membership import Membership
 from cardamomtiller.peer_grpc import PeerBase, PeerStub
 from cardamomtiller.peer_pb2 import Sealed
-from cardamomtiller.peertransport import (
+from cardamomtiller.peering.exchangeparts import ExchangeParts
+from cardamomtiller.peering.exchanger import Exchanger
+from cardamomtiller.peering.fetching import FetchGuard
+from cardamomtiller.peering.peertransport import (
     CALL_ERRORS,
     H2_OPTIONS,
     LARGEST_EXCHANGE_BYTES,
@@ -28,7 +28,7 @@
     open_channel,
     read_request,
 )
-from cardamomtiller.reader import Intake
+from cardamomtiller.peering.reader import Intake
 
 TICK_MS = 50.0
 IDLE_CLIENT_MS = 30_000.0
--- a/src/cardamomtiller/reader.py
+++ b/src/cardamomtiller/peering/reader.py
@@ -10,7 +10,6 @@
 from returns.result import Failure
 
 from cardamomtiller.counter import Counters
-from cardamomtiller.document import Document
 from cardamomtiller.finding import Finding, Place
 from cardamomtiller.identity import (
     MS_PER_S,
@@ -19,11 +18,12 @@
     InstanceId,
     Version,
 )
+from cardamomtiller.lists.document import Document
+from cardamomtiller.lists.snapshot import Offer, SnapshotStore
+from cardamomtiller.membership.view import View
+from cardamomtiller.peering.source import ConfigurationSource, Listing
 from cardamomtiller.rendezvous import rank
 from cardamomtiller.settings_pb2 import SourceSettings
-from cardamomtiller.snapshot import Offer, SnapshotStore
-from cardamomtiller.source import ConfigurationSource, Listing
-from cardamomtiller.view import View
 
 FIRST_BACKOFF_MS = 250.0
 LARGEST_BACKOFF_MS = 15_000.0
--- a/src/cardamomtiller/source.py
+++ b/src/cardamomtiller/peering/source.py
@@ -13,13 +13,13 @@
 import httpx
 from returns.result import Failure, Result, Success
 
-from cardamomtiller.document import (
+from cardamomtiller.finding import Finding, Place
+from cardamomtiller.identity import MS_PER_S, DocumentName, Version
+from cardamomtiller.lists.document import (
     LARGEST_DOCUMENT_BYTES,
     LARGEST_NAME_LENGTH,
     Document,
 )
-from cardamomtiller.finding import Finding, Place
-from cardamomtiller.identity import MS_PER_S, DocumentName, Version
 from cardamomtiller.settings_pb2 import SourceSettings
 
 LARGEST_DOCUMENTS = 1000
--- a/src/cardamomtiller/entry_heap.py
+++ b/src/cardamomtiller/queueing/entry_heap.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from cardamomtiller.work import Work
+from cardamomtiller.queueing.work import Work
 
 # Removed entries stay in a heap until they are the larger part of it.
 SMALLEST_COMPACTED = 64
--- a/src/cardamomtiller/fair_queue.py
+++ b/src/cardamomtiller/queueing/fair_queue.py
@@ -3,9 +3,9 @@
 import heapq
 from dataclasses import dataclass
 
-from cardamomtiller.entry_heap import Entry, EntryHeap
 from cardamomtiller.identity import CustomerId
-from cardamomtiller.work import CLASSES, Work
+from cardamomtiller.queueing.entry_heap import Entry, EntryHeap
+from cardamomtiller.queueing.work import CLASSES, Work
 
 # Slot time per unit of weight that a customer below its share may make up for.
 # Without it, random bursts of a customer just below its share are refused.
--- a/src/cardamomtiller/run_times.py
+++ b/src/cardamomtiller/queueing/run_times.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Iterator
 
-from cardamomtiller.work import Work
+from cardamomtiller.queueing.work import Work
 
 DEFAULT_RUN_MS = 50
 SMALLEST_RUN_MS = 1
--- a/src/cardamomtiller/running.py
+++ b/src/cardamomtiller/queueing/running.py
@@ -5,9 +5,9 @@
 import math
 from dataclasses import dataclass
 
-from cardamomtiller.class_share import LOAD_AVERAGE_MS
 from cardamomtiller.identity import RequestKey
-from cardamomtiller.work import Work
+from cardamomtiller.queueing.class_share import LOAD_AVERAGE_MS
+from cardamomtiller.queueing.work import Work
 
 
 @dataclass(slots=True)
--- a/src/cardamomtiller/scheduler.py
+++ b/src/cardamomtiller/queueing/scheduler.py
@@ -5,15 +5,15 @@
 
 from returns.result import Failure, Result, Success
 
-from cardamomtiller.entry_heap import Entry
-from cardamomtiller.fair_queue import Candidate
 from cardamomtiller.identity import CustomerId, Outcome, RequestKey, ServiceClass
-from cardamomtiller.run_times import RunTimes
-from cardamomtiller.running import Running, RunningWork
-from cardamomtiller.slot_limit import SlotLimit
-from cardamomtiller.waiting import WaitingWork
+from cardamomtiller.queueing.entry_heap import Entry
+from cardamomtiller.queueing.fair_queue import Candidate
+from cardamomtiller.queueing.run_times import RunTimes
+from cardamomtiller.queueing.running import Running, RunningWork
+from cardamomtiller.queueing.slot_limit import SlotLimit
+from cardamomtiller.queueing.waiting import WaitingWork
+from cardamomtiller.queueing.work import BULK, NORMAL, URGENT, Options, Refusal, Work
 from cardamomtiller.wire_pb2 import REASON_DEADLINE_EXCEEDED, REASON_QUEUE_FULL
-from cardamomtiller.work import BULK, NORMAL, URGENT, Options, Refusal, Work
 
 # Slot time per unit of weight by which urgent work may run ahead of the fair
 # share of its customer. Beyond it the label has no effect.
--- a/src/cardamomtiller/waiting.py
+++ b/src/cardamomtiller/queueing/waiting.py
@@ -3,11 +3,11 @@
 import itertools
 from collections.abc import Iterator
 
-from cardamomtiller.class_share import ClassState
-from cardamomtiller.entry_heap import Entry, EntryHeap
-from cardamomtiller.fair_queue import Candidate, FairAccounts, Lane
 from cardamomtiller.identity import RequestKey
-from cardamomtiller.work import BULK, Options, Work
+from cardamomtiller.queueing.class_share import ClassState
+from cardamomtiller.queueing.entry_heap import Entry, EntryHeap
+from cardamomtiller.queueing.fair_queue import Candidate, FairAccounts, Lane
+from cardamomtiller.queueing.work import BULK, Options, Work
 
 
 class WaitingWork:
--- /dev/null
+++ b/src/cardamomtiller/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Flows and requests of the upstreams that an instance owns."""
--- a/src/cardamomtiller/flowserving.py
+++ b/src/cardamomtiller/serving/flowserving.py
@@ -2,10 +2,10 @@
 
 from returns.result import Failure
 
-from cardamomtiller.flowtable import ServedFlow
-from cardamomtiller.home import Arrival, Home
 from cardamomtiller.identity import FlowId, OperatorState, RequestId
-from cardamomtiller.requestserving import RequestServer
+from cardamomtiller.serving.flowtable import ServedFlow
+from cardamomtiller.serving.home import Arrival, Home
+from cardamomtiller.serving.requestserving import RequestServer
 from cardamomtiller.wire_pb2 import (
     Cookie,
     FlowClose,
--- a/src/cardamomtiller/flowtable.py
+++ b/src/cardamomtiller/serving/flowtable.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from cardamomtiller.admission import Permit
+from cardamomtiller.accounts.admission import Permit
 from cardamomtiller.identity import CustomerId, Endpoint, FlowId, ServiceName
 from cardamomtiller.wire_pb2 import Address, FlowRecord
 
--- a/src/cardamomtiller/home.py
+++ b/src/cardamomtiller/serving/home.py
@@ -5,13 +5,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from cardamomtiller import codec
-from cardamomtiller.admission import Admission, Permit
-from cardamomtiller.catalog import Catalog
-from cardamomtiller.cookie import CookieSealer
+from cardamomtiller.accounts.admission import Admission, Permit
 from cardamomtiller.counter import Counters
-from cardamomtiller.document import UpstreamRow
-from cardamomtiller.flowtable import FlowTable, ServedFlow
+from cardamomtiller.datagrams import codec
+from cardamomtiller.datagrams.cookie import CookieSealer
 from cardamomtiller.identity import (
     CustomerId,
     Endpoint,
@@ -23,8 +20,11 @@
     UpstreamId,
 )
 from cardamomtiller.invariant import Invariants
-from cardamomtiller.link import UpstreamLink
-from cardamomtiller.record import DuplicateRecord
+from cardamomtiller.lists.catalog import Catalog
+from cardamomtiller.lists.document import UpstreamRow
+from cardamomtiller.serving.flowtable import FlowTable, ServedFlow
+from cardamomtiller.serving.link import UpstreamLink
+from cardamomtiller.serving.record import DuplicateRecord
 from cardamomtiller.settings_pb2 import Settings
 from cardamomtiller.wire_pb2 import Cookie, Packet, Reason, Reset, UpstreamFrame
 
--- a/src/cardamomtiller/request.py
+++ b/src/cardamomtiller/serving/request.py
@@ -3,10 +3,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from cardamomtiller import codec
-from cardamomtiller.admission import Permit
-from cardamomtiller.codec import ChunkSender, Reassembly
+from cardamomtiller.accounts.admission import Permit
+from cardamomtiller.datagrams import codec
+from cardamomtiller.datagrams.codec import ChunkSender, Reassembly
 from cardamomtiller.identity import CustomerId, RequestKey, ServiceClass
+from cardamomtiller.queueing.work import Work
 from cardamomtiller.wire_pb2 import (
     Answer,
     AnswerStatus,
@@ -14,7 +15,6 @@
     Request,
     RunAnswer,
 )
-from cardamomtiller.work import Work
 
 LARGEST_ANSWER_CHUNKS = 4096
 
--- a/src/cardamomtiller/requestserving.py
+++ b/src/cardamomtiller/serving/requestserving.py
@@ -5,20 +5,22 @@
 
 from returns.result import Failure
 
-from cardamomtiller import codec
-from cardamomtiller.flowtable import ServedFlow
-from cardamomtiller.home import Arrival, Home
+from cardamomtiller.datagrams import codec
 from cardamomtiller.identity import FlowId, Outcome, RequestId, RequestKey, ServiceClass
-from cardamomtiller.link import BODY_CHUNK_BYTES
-from cardamomtiller.record import Verdict
-from cardamomtiller.request import (
+from cardamomtiller.queueing.scheduler import Scheduler
+from cardamomtiller.queueing.work import Options as QueueOptions
+from cardamomtiller.queueing.work import Work
+from cardamomtiller.serving.flowtable import ServedFlow
+from cardamomtiller.serving.home import Arrival, Home
+from cardamomtiller.serving.link import BODY_CHUNK_BYTES
+from cardamomtiller.serving.record import Verdict
+from cardamomtiller.serving.request import (
     LARGEST_ANSWER_CHUNKS,
     Ending,
     RequestState,
     ServedRequest,
 )
-from cardamomtiller.retry import RetryBudget, backoff_ms
-from cardamomtiller.scheduler import Scheduler
+from cardamomtiller.serving.retry import RetryBudget, backoff_ms
 from cardamomtiller.settings_pb2 import Settings
 from cardamomtiller.wire_pb2 import (
     Answer,
@@ -36,8 +38,6 @@
     RunShed,
     UpstreamFrame,
 )
-from cardamomtiller.work import Options as QueueOptions
-from cardamomtiller.work import Work
 
 ANSWER_WINDOW_CHUNKS = 32
 ANSWER_RETENTION_MS = 10_000
--- a/src/cardamomtiller/serving.py
+++ b/src/cardamomtiller/serving/serving.py
@@ -2,14 +2,14 @@
 
 from loguru import logger
 
-from cardamomtiller.catalog import Catalog
-from cardamomtiller.document import UpstreamRow
-from cardamomtiller.flowserving import FlowServer
-from cardamomtiller.flowtable import ServedFlow
-from cardamomtiller.home import Arrival, Home, ServingParts
 from cardamomtiller.identity import FlowId
-from cardamomtiller.link import LinkListener, UpstreamLink
-from cardamomtiller.requestserving import RequestServer
+from cardamomtiller.lists.catalog import Catalog
+from cardamomtiller.lists.document import UpstreamRow
+from cardamomtiller.serving.flowserving import FlowServer
+from cardamomtiller.serving.flowtable import ServedFlow
+from cardamomtiller.serving.home import Arrival, Home, ServingParts
+from cardamomtiller.serving.link import LinkListener, UpstreamLink
+from cardamomtiller.serving.requestserving import RequestServer
 from cardamomtiller.wire_pb2 import Hello, Reason, UpstreamFrame, UpstreamLoad
 
 SWEEP_MS = 1000
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -12,18 +12,24 @@
 from returns.result import Failure, Success
 
 from cardamomtiller.counter import Counters
-from cardamomtiller.document import LARGEST_DOCUMENT_BYTES, PLANS, Document
-from cardamomtiller.exchangeparts import ControlParts, ExchangePart
-from cardamomtiller.exchanger import Exchanger
-from cardamomtiller.fetching import unpack_documents
-from cardamomtiller.gate import EXCHANGES_PER_S, SenderHistory
 from cardamomtiller.identity import Version
+from cardamomtiller.lists.document import LARGEST_DOCUMENT_BYTES, PLANS, Document
+from cardamomtiller.lists.snapshot import Offer, SnapshotStore
+from cardamomtiller.membership.rumor import make_incarnation
 from cardamomtiller.peer_pb2 import FetchedDocuments, PublishedDocument, Sealed
-from cardamomtiller.reader import Intake, Reader, ReaderOptions, Role, choose_role
-from cardamomtiller.rumor import make_incarnation
-from cardamomtiller.sealing import Context, MessageKind, Sealer
-from cardamomtiller.snapshot import Offer, SnapshotStore
-from cardamomtiller.source import HttpSource
+from cardamomtiller.peering.exchangeparts import ControlParts, ExchangePart
+from cardamomtiller.peering.exchanger import Exchanger
+from cardamomtiller.peering.fetching import unpack_documents
+from cardamomtiller.peering.gate import EXCHANGES_PER_S, SenderHistory
+from cardamomtiller.peering.reader import (
+    Intake,
+    Reader,
+    ReaderOptions,
+    Role,
+    choose_role,
+)
+from cardamomtiller.peering.sealing import Context, MessageKind, Sealer
+from cardamomtiller.peering.source import HttpSource
 from tools.membership_model import KEY, Model, make_rows
 from tools.standins.platform import Faults, Platform
 
--- a/tests/features/steps/foundation_steps.py
+++ b/tests/features/steps/foundation_steps.py
@@ -8,12 +8,12 @@
 from hypothesis import strategies
 from returns.result import Failure, Success
 
-from cardamomtiller import codec
-from cardamomtiller.cookie import CookieSealer
-from cardamomtiller.document import PLANS, Document, KeyRow
+from cardamomtiller.datagrams import codec
+from cardamomtiller.datagrams.cookie import CookieSealer
 from cardamomtiller.identity import FlowId, PlanName, Version
-from cardamomtiller.settings import parse_settings
-from cardamomtiller.snapshot import SnapshotStore
+from cardamomtiller.lists.document import PLANS, Document, KeyRow
+from cardamomtiller.lists.settings import parse_settings
+from cardamomtiller.lists.snapshot import SnapshotStore
 from cardamomtiller.wire_pb2 import Cookie
 
 PLAN_TEXT = """
--- a/tests/features/steps/limits_steps.py
+++ b/tests/features/steps/limits_steps.py
@@ -11,11 +11,11 @@
 from hypothesis import strategies
 from returns.result import Failure, Success
 
-from cardamomtiller.allowance import Allowance, fair_part, fair_units
-from cardamomtiller.bucket import TokenBucket
-from cardamomtiller.grantor import Grantor
-from cardamomtiller.holder import Holder
-from cardamomtiller.lease import LeaseAgent
+from cardamomtiller.accounts.allowance import Allowance, fair_part, fair_units
+from cardamomtiller.accounts.bucket import TokenBucket
+from cardamomtiller.accounts.grantor import Grantor
+from cardamomtiller.accounts.holder import Holder
+from cardamomtiller.accounts.lease import LeaseAgent
 from cardamomtiller.wire_pb2 import Reason
 from tools.lease_fleet import DEFAULTS, Fleet
 
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -13,9 +13,6 @@
 from hypothesis import given as hypothesis_given
 from hypothesis import settings as hypothesis_settings
 
-from cardamomtiller.assignment import LOAD_FACTOR, OwnerTable, owners
-from cardamomtiller.document import UpstreamRow
-from cardamomtiller.gossip import RUMORS_PER_MESSAGE
 from cardamomtiller.identity import (
     DomainName,
     Endpoint,
@@ -25,9 +22,12 @@
     ServiceName,
     UpstreamId,
 )
-from cardamomtiller.membership import Membership
+from cardamomtiller.lists.document import UpstreamRow
+from cardamomtiller.membership.assignment import LOAD_FACTOR, OwnerTable, owners
+from cardamomtiller.membership.gossip import RUMORS_PER_MESSAGE
+from cardamomtiller.membership.membership import Membership
+from cardamomtiller.membership.view import InstanceState, View
 from cardamomtiller.peer_pb2 import MemberRumor, MembershipDelta
-from cardamomtiller.view import InstanceState, View
 from tools.membership_model import DEFAULTS, Model, find_moved, make_rows
 
 NAMES = [row.name for row in make_rows(9, 4)]
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -13,11 +13,13 @@
 from loguru import logger
 from returns.result import Success
 
-from cardamomtiller import burn, burn_page, check, log, status
-from cardamomtiller.cookie import CookieSealer, explain_cookie
-from cardamomtiller.document import ObjectiveRow
+from cardamomtiller import log
+from cardamomtiller.datagrams.cookie import CookieSealer, explain_cookie
 from cardamomtiller.identity import Endpoint, FlowId, ServiceClass, ServiceName
-from cardamomtiller.settings import parse_settings
+from cardamomtiller.lists import check
+from cardamomtiller.lists.document import ObjectiveRow
+from cardamomtiller.lists.settings import parse_settings
+from cardamomtiller.operations import burn, burn_page, status
 from cardamomtiller.wire_pb2 import Cookie
 from tools import write_example
 
--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -8,9 +8,9 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
-from cardamomtiller.document import PLANS
+from cardamomtiller.lists.document import PLANS
 from cardamomtiller.peer_grpc import PeerStub
-from cardamomtiller.peertransport import LARGEST_EXCHANGE_BYTES
+from cardamomtiller.peering.peertransport import LARGEST_EXCHANGE_BYTES
 from tools.live_fleet import PLAN, LiveFleet
 
 
--- a/tests/features/steps/queue_steps.py
+++ b/tests/features/steps/queue_steps.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 from returns.result import Failure, Success
 
+from cardamomtiller.entrance.selection import Load, Selection
 from cardamomtiller.identity import (
     FlowId,
     OperatorState,
@@ -16,14 +17,13 @@
     ServiceClass,
     UpstreamId,
 )
-from cardamomtiller.retry import (
+from cardamomtiller.queueing.scheduler import Scheduler
+from cardamomtiller.serving.retry import (
     LARGEST_BACKOFF_MS,
     LARGEST_SAVED_RETRIES,
     RetryBudget,
     backoff_ms,
 )
-from cardamomtiller.scheduler import Scheduler
-from cardamomtiller.selection import Load, Selection
 from cardamomtiller.wire_pb2 import REASON_QUEUE_FULL
 from tools.policy_simulation import (
     QUEUE_OPTIONS,
--- a/tests/features/steps/record_steps.py
+++ b/tests/features/steps/record_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from cardamomtiller.identity import FlowId, RequestId, RequestKey
-from cardamomtiller.record import DuplicateRecord, Verdict
+from cardamomtiller.serving.record import DuplicateRecord, Verdict
 from tests.simulation import Fleet, VirtualLoop
 
 FLOW = FlowId(b'f' * 16)
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -11,9 +11,13 @@
 
 from behave import given, then, when
 
-from cardamomtiller.catalog import build_catalog
 from cardamomtiller.counter import Counters
-from cardamomtiller.document import ServiceRow, UpstreamRow
+from cardamomtiller.entrance.relay import (
+    FewestConnections,
+    Relay,
+    RelayOptions,
+    StreamLimit,
+)
 from cardamomtiller.identity import (
     CustomerId,
     DomainName,
@@ -24,12 +28,8 @@
     ServiceName,
     UpstreamId,
 )
-from cardamomtiller.relay import (
-    FewestConnections,
-    Relay,
-    RelayOptions,
-    StreamLimit,
-)
+from cardamomtiller.lists.catalog import build_catalog
+from cardamomtiller.lists.document import ServiceRow, UpstreamRow
 
 OPTIONS = RelayOptions(
     connect_timeout_ms=300, idle_timeout_ms=30_000, buffer_bytes=16_384
--- a/tests/home_rig.py
+++ b/tests/home_rig.py
@@ -3,17 +3,17 @@
 import random
 from dataclasses import dataclass, field
 
-from cardamomtiller.catalog import build_catalog
-from cardamomtiller.cookie import CookieSealer
 from cardamomtiller.counter import Counters
-from cardamomtiller.document import KeyRow, ServiceRow
-from cardamomtiller.home import Arrival, HomeIdentity, HomeOutlet, ServingParts
+from cardamomtiller.datagrams.cookie import CookieSealer
 from cardamomtiller.identity import Endpoint, FlowId, Incarnation, InstanceId
 from cardamomtiller.invariant import Invariants
-from cardamomtiller.link import UpstreamLink
-from cardamomtiller.record import DuplicateRecord
-from cardamomtiller.serving import ServedUpstream
-from cardamomtiller.settings import parse_settings
+from cardamomtiller.lists.catalog import build_catalog
+from cardamomtiller.lists.document import KeyRow, ServiceRow
+from cardamomtiller.lists.settings import parse_settings
+from cardamomtiller.serving.home import Arrival, HomeIdentity, HomeOutlet, ServingParts
+from cardamomtiller.serving.link import UpstreamLink
+from cardamomtiller.serving.record import DuplicateRecord
+from cardamomtiller.serving.serving import ServedUpstream
 from cardamomtiller.wire_pb2 import (
     FlowOpened,
     Hello,
--- a/tests/mutant_trials.py
+++ b/tests/mutant_trials.py
@@ -5,16 +5,22 @@
 
 from returns.result import Success
 
-from cardamomtiller import codec
-from cardamomtiller.catalog import build_catalog
 from cardamomtiller.client import Client, ClientOptions, Status
-from cardamomtiller.cookie import CookieSealer
-from cardamomtiller.document import CustomerRow, Document, KeyRow
-from cardamomtiller.flowserving import FlowServer
+from cardamomtiller.datagrams import codec
+from cardamomtiller.datagrams.cookie import CookieSealer
+from cardamomtiller.entrance.routing import (
+    Dropped,
+    FlowKeys,
+    Inbound,
+    Router,
+    RoutingView,
+)
 from cardamomtiller.identity import DocumentName, Endpoint, PlanName, Version
-from cardamomtiller.membership import View
-from cardamomtiller.routing import Dropped, FlowKeys, Inbound, Router, RoutingView
-from cardamomtiller.snapshot import SnapshotStore
+from cardamomtiller.lists.catalog import build_catalog
+from cardamomtiller.lists.document import CustomerRow, Document, KeyRow
+from cardamomtiller.lists.snapshot import SnapshotStore
+from cardamomtiller.membership.membership import View
+from cardamomtiller.serving.flowserving import FlowServer
 from cardamomtiller.wire_pb2 import (
     Answer,
     AnswerStatus,
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -17,23 +17,13 @@
 from returns.result import Result, Success
 
 from cardamomtiller import client as client_module
-from cardamomtiller.admission import Permit, PermitKind, Refusal
-from cardamomtiller.assignment import owners
-from cardamomtiller.catalog import Catalog, build_catalog
+from cardamomtiller.accounts.admission import Permit, PermitKind, Refusal
 from cardamomtiller.client import Client, ClientOptions, OpenError, Status
-from cardamomtiller.cookie import CookieSealer
 from cardamomtiller.counter import Counters
-from cardamomtiller.dataplane import DataPlane
-from cardamomtiller.document import (
-    CustomerRow,
-    InstanceRow,
-    KeyRow,
-    PlanRow,
-    ServiceRow,
-    UpstreamRow,
-)
-from cardamomtiller.entrance import DatagramSocket
-from cardamomtiller.home import HomeIdentity, ServingParts
+from cardamomtiller.datagrams.cookie import CookieSealer
+from cardamomtiller.entrance.dataplane import DataPlane
+from cardamomtiller.entrance.entrance import DatagramSocket
+from cardamomtiller.entrance.routing import RoutingView
 from cardamomtiller.identity import (
     CustomerId,
     DomainName,
@@ -48,11 +38,21 @@
     UpstreamId,
 )
 from cardamomtiller.invariant import Invariants
-from cardamomtiller.link import LinkListener, UpstreamLink
-from cardamomtiller.record import DuplicateRecord
-from cardamomtiller.routing import RoutingView
-from cardamomtiller.settings import parse_settings
-from cardamomtiller.view import InstanceState, Member, View
+from cardamomtiller.lists.catalog import Catalog, build_catalog
+from cardamomtiller.lists.document import (
+    CustomerRow,
+    InstanceRow,
+    KeyRow,
+    PlanRow,
+    ServiceRow,
+    UpstreamRow,
+)
+from cardamomtiller.lists.settings import parse_settings
+from cardamomtiller.membership.assignment import owners
+from cardamomtiller.membership.view import InstanceState, Member, View
+from cardamomtiller.serving.home import HomeIdentity, ServingParts
+from cardamomtiller.serving.link import LinkListener, UpstreamLink
+from cardamomtiller.serving.record import DuplicateRecord
 from cardamomtiller.wire_pb2 import UpstreamFrame
 from tools.standins import upstream as upstream_module
 from tools.standins.upstream import Behaviour, Execution, Link, Upstream
--- a/tools/bench_datapath.py
+++ b/tools/bench_datapath.py
@@ -23,26 +23,15 @@
 
 from google.protobuf.internal import api_implementation
 
-from cardamomtiller import codec
-from cardamomtiller.admission import Admission
-from cardamomtiller.allowance import Allowance
-from cardamomtiller.catalog import Catalog, build_catalog
+from cardamomtiller.accounts.admission import Admission
+from cardamomtiller.accounts.allowance import Allowance
 from cardamomtiller.client import Client
-from cardamomtiller.cookie import CookieSealer
 from cardamomtiller.counter import Counters
-from cardamomtiller.dataplane import DataPlane
-from cardamomtiller.document import (
-    CustomerRow,
-    Document,
-    InstanceRow,
-    KeyRow,
-    PlanRow,
-    ServiceRow,
-    UpstreamRow,
-    parse_document,
-)
-from cardamomtiller.entrance import DatagramSocket
-from cardamomtiller.home import HomeIdentity, ServingParts
+from cardamomtiller.datagrams import codec
+from cardamomtiller.datagrams.cookie import CookieSealer
+from cardamomtiller.entrance.dataplane import DataPlane
+from cardamomtiller.entrance.entrance import DatagramSocket
+from cardamomtiller.entrance.routing import RoutingView
 from cardamomtiller.identity import (
     MS_PER_S,
     CustomerId,
@@ -62,11 +51,22 @@
     Version,
 )
 from cardamomtiller.invariant import Invariants
-from cardamomtiller.link import LinkListener, UpstreamLink
-from cardamomtiller.membership import InstanceState, Member, View
-from cardamomtiller.record import DuplicateRecord
-from cardamomtiller.routing import RoutingView
-from cardamomtiller.settings import parse_settings
+from cardamomtiller.lists.catalog import Catalog, build_catalog
+from cardamomtiller.lists.document import (
+    CustomerRow,
+    Document,
+    InstanceRow,
+    KeyRow,
+    PlanRow,
+    ServiceRow,
+    UpstreamRow,
+    parse_document,
+)
+from cardamomtiller.lists.settings import parse_settings
+from cardamomtiller.membership.membership import InstanceState, Member, View
+from cardamomtiller.serving.home import HomeIdentity, ServingParts
+from cardamomtiller.serving.link import LinkListener, UpstreamLink
+from cardamomtiller.serving.record import DuplicateRecord
 from cardamomtiller.wire_pb2 import (
     AnswerAck,
     Forward,
--- a/tools/bench_limits.py
+++ b/tools/bench_limits.py
@@ -8,8 +8,8 @@
 
 from returns.result import Success
 
-from cardamomtiller.admission import Admission
-from cardamomtiller.allowance import Allowance
+from cardamomtiller.accounts.admission import Admission
+from cardamomtiller.accounts.allowance import Allowance
 from cardamomtiller.identity import CustomerId
 from tools.lease_fleet import Fleet, Node
 
--- a/tools/bench_membership.py
+++ b/tools/bench_membership.py
@@ -24,8 +24,6 @@
 
 from loguru import logger
 
-from cardamomtiller.assignment import LOAD_FACTOR, OwnerTable
-from cardamomtiller.document import PLANS, Document, UpstreamRow
 from cardamomtiller.identity import (
     DomainName,
     Endpoint,
@@ -36,10 +34,12 @@
     UpstreamId,
     Version,
 )
-from cardamomtiller.membership import Membership
-from cardamomtiller.membershipoptions import MembershipOptions
+from cardamomtiller.lists.document import PLANS, Document, UpstreamRow
+from cardamomtiller.membership.assignment import LOAD_FACTOR, OwnerTable
+from cardamomtiller.membership.membership import Membership
+from cardamomtiller.membership.membershipoptions import MembershipOptions
+from cardamomtiller.membership.view import View
 from cardamomtiller.rendezvous import assign_bounded
-from cardamomtiller.view import View
 from tools.live_fleet import PLAN, LiveFleet
 from tools.membership_model import DEFAULTS, Model, find_moved, make_rows
 
--- a/tools/bench_policy.py
+++ b/tools/bench_policy.py
@@ -15,9 +15,9 @@
 from random import Random
 from typing import Any
 
+from cardamomtiller.entrance.selection import CANDIDATES, Load
 from cardamomtiller.identity import FlowId, Outcome, ServiceClass
-from cardamomtiller.scheduler import Scheduler
-from cardamomtiller.selection import CANDIDATES, Load
+from cardamomtiller.queueing.scheduler import Scheduler
 from tools.policy_simulation import (
     QUEUE_OPTIONS,
     Chooser,
--- a/tools/lease_fleet.py
+++ b/tools/lease_fleet.py
@@ -12,10 +12,9 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from cardamomtiller.admission import Admission
-from cardamomtiller.allowance import Allowance
-from cardamomtiller.catalog import Catalog, build_catalog
-from cardamomtiller.document import CustomerRow, PlanRow
+from cardamomtiller.accounts.admission import Admission
+from cardamomtiller.accounts.allowance import Allowance
+from cardamomtiller.accounts.lease import LeaseAgent
 from cardamomtiller.identity import (
     CustomerId,
     DomainName,
@@ -23,7 +22,8 @@
     InstanceId,
     PlanName,
 )
-from cardamomtiller.lease import LeaseAgent
+from cardamomtiller.lists.catalog import Catalog, build_catalog
+from cardamomtiller.lists.document import CustomerRow, PlanRow
 from cardamomtiller.peer_pb2 import LeaseGrant, LeaseReport
 from cardamomtiller.settings_pb2 import LeaseSettings
 
--- a/tools/list_counters.py
+++ b/tools/list_counters.py
@@ -33,7 +33,7 @@
 
 def find_names() -> Iterator[tuple[str, str]]:
     """Iterate over pairs of module and name."""
-    for path in sorted(SOURCES.glob('*.py')):
+    for path in sorted(SOURCES.rglob('*.py')):
         if path.stem.endswith(('_pb2', '_grpc')):
             continue
         for node in ast.walk(ast.parse(path.read_text())):
--- a/tools/live_fleet.py
+++ b/tools/live_fleet.py
@@ -9,16 +9,22 @@
 from dataclasses import dataclass, fields, replace
 
 from cardamomtiller.counter import Counters
-from cardamomtiller.document import PLANS, InstanceRow
-from cardamomtiller.exchangeparts import ControlParts
 from cardamomtiller.identity import Endpoint, InstanceId
-from cardamomtiller.membership import Membership
-from cardamomtiller.membershipoptions import MembershipOptions
-from cardamomtiller.peer import Peer, PeerOptions
-from cardamomtiller.reader import Intake, Reader, ReaderOptions, Role, choose_role
-from cardamomtiller.rumor import make_incarnation
-from cardamomtiller.snapshot import SnapshotStore
-from cardamomtiller.source import HttpSource
+from cardamomtiller.lists.document import PLANS, InstanceRow
+from cardamomtiller.lists.snapshot import SnapshotStore
+from cardamomtiller.membership.membership import Membership
+from cardamomtiller.membership.membershipoptions import MembershipOptions
+from cardamomtiller.membership.rumor import make_incarnation
+from cardamomtiller.peering.exchangeparts import ControlParts
+from cardamomtiller.peering.peer import Peer, PeerOptions
+from cardamomtiller.peering.reader import (
+    Intake,
+    Reader,
+    ReaderOptions,
+    Role,
+    choose_role,
+)
+from cardamomtiller.peering.source import HttpSource
 from tools.membership_model import DEFAULTS, make_rows
 from tools.standins.platform import Faults, Platform
 
--- a/tools/membership_model.py
+++ b/tools/membership_model.py
@@ -13,10 +13,6 @@
 from dataclasses import dataclass, field
 
 from cardamomtiller.counter import Counters
-from cardamomtiller.document import Document, InstanceRow
-from cardamomtiller.exchangeparts import ControlParts
-from cardamomtiller.exchanger import Exchanger
-from cardamomtiller.fetching import FetchGuard
 from cardamomtiller.identity import (
     DomainName,
     Endpoint,
@@ -25,12 +21,16 @@
     RegionName,
     UpstreamId,
 )
-from cardamomtiller.membership import Membership
-from cardamomtiller.membershipoptions import MembershipOptions
+from cardamomtiller.lists.document import Document, InstanceRow
+from cardamomtiller.lists.snapshot import SnapshotStore
+from cardamomtiller.membership.membership import Membership
+from cardamomtiller.membership.membershipoptions import MembershipOptions
+from cardamomtiller.membership.rumor import make_incarnation
 from cardamomtiller.peer_pb2 import Sealed
-from cardamomtiller.reader import Intake
-from cardamomtiller.rumor import make_incarnation
-from cardamomtiller.snapshot import SnapshotStore
+from cardamomtiller.peering.exchangeparts import ControlParts
+from cardamomtiller.peering.exchanger import Exchanger
+from cardamomtiller.peering.fetching import FetchGuard
+from cardamomtiller.peering.reader import Intake
 
 KEY = b'k' * 32
 TICK_MS = 50.0
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -19,18 +19,18 @@
 
 from loguru import logger
 
-from cardamomtiller import cookie as cookie_module
 from cardamomtiller.client import Client
-from cardamomtiller.cookie import CookieSealer
-from cardamomtiller.home import Home
+from cardamomtiller.datagrams import cookie as cookie_module
+from cardamomtiller.datagrams.cookie import CookieSealer
+from cardamomtiller.entrance.routing import Router
+from cardamomtiller.entrance.selection import Selection
 from cardamomtiller.identity import Outcome
-from cardamomtiller.record import DuplicateRecord, Verdict
-from cardamomtiller.request import Ending, RequestState
-from cardamomtiller.requestserving import RequestServer
-from cardamomtiller.routing import Router
-from cardamomtiller.selection import Selection
-from cardamomtiller.serving import ServedUpstream
-from cardamomtiller.snapshot import SnapshotStore
+from cardamomtiller.lists.snapshot import SnapshotStore
+from cardamomtiller.serving.home import Home
+from cardamomtiller.serving.record import DuplicateRecord, Verdict
+from cardamomtiller.serving.request import Ending, RequestState
+from cardamomtiller.serving.requestserving import RequestServer
+from cardamomtiller.serving.serving import ServedUpstream
 from cardamomtiller.wire_pb2 import AnswerStatus, Reason
 from tests import mutant_trials as trials
 from tools.standins.upstream import Upstream
--- a/tools/policy_simulation.py
+++ b/tools/policy_simulation.py
@@ -14,8 +14,8 @@
 
 from returns.result import Result, Success
 
-from cardamomtiller import selection
-from cardamomtiller.document import UpstreamRow
+from cardamomtiller.entrance import selection
+from cardamomtiller.entrance.selection import Load, Selection
 from cardamomtiller.identity import (
     CustomerId,
     DomainName,
@@ -30,10 +30,10 @@
     ServiceName,
     UpstreamId,
 )
-from cardamomtiller.scheduler import Scheduler
-from cardamomtiller.selection import Load, Selection
-from cardamomtiller.work import Options as QueueOptions
-from cardamomtiller.work import Refusal, Work
+from cardamomtiller.lists.document import UpstreamRow
+from cardamomtiller.queueing.scheduler import Scheduler
+from cardamomtiller.queueing.work import Options as QueueOptions
+from cardamomtiller.queueing.work import Refusal, Work
 
 QUEUE_OPTIONS = QueueOptions(
     long_run_ms=500,
