Keep lines about the process when a flood of other lines is cut

Cause: after a restart with 750 upstreams, the lines about their entries used up the 500 lines of the second, and records_listed and serving were suppressed: the log did not say when the instance began to serve. Change: start, stop, reload, sources and versions have a limit of their own, 100 a second. Ruled out: a larger limit for all lines, which costs processor time at the worst moment. A scenario that writes 5,000 lines failed before and passes now; lint passes.

--- a/src/cardamomtiller/forwarding/decisionlog.py
+++ b/src/cardamomtiller/forwarding/decisionlog.py
@@ -14,18 +14,50 @@
 
 
 class LogOptions(NamedTuple):
-    """Bounds of the log."""
+    """
+    Bounds of the log.
+
+    Attributes
+    ----------
+    lines_per_s
+        Lines a second about packets, flows and records.
+    milestones_per_s
+        Lines a second about the process itself, which the others cannot displace.
+    buffered_lines
+        Lines that wait for the reader.
+    """
 
     lines_per_s: int
+    milestones_per_s: int
     buffered_lines: int
 
 
+class _Rate:
+    """Lines of the present second, up to a limit."""
+
+    def __init__(self, lines_per_s: int) -> None:
+        self._lines_per_s = lines_per_s
+        self._second = 0
+        self._lines = 0
+
+    def admit(self, now_ms: float) -> bool:
+        """Count a line; return whether it is within the limit."""
+        second = int(now_ms // MS_PER_S)
+        if second != self._second:
+            self._second = second
+            self._lines = 0
+        self._lines += 1
+        return self._lines <= self._lines_per_s
+
+
 class DecisionLog:
     """
     Lines of JSON, written when the reader takes them.
 
-    Beyond ``lines_per_s`` lines a second, or while the reader does not read, lines
-    are counted instead of written, and the count is logged once there is room.
+    Beyond a limit for each second, or while the reader does not read, lines are
+    counted instead of written, and the count is logged once there is room.
+    Milestones have a limit of their own: a long list of records after a restart must
+    not displace the line that says when the process began to serve.
     """
 
     def __init__(
@@ -40,14 +72,28 @@
         self._read_wall_clock = read_wall_clock
         self._buffer: deque[bytes] = deque()
         self._rest = b''
-        self._second = 0
-        self._lines_in_second = 0
+        self._routine = _Rate(options.lines_per_s)
+        self._milestones = _Rate(options.milestones_per_s)
         self.suppressed = 0
         self._unreported = 0
 
     def write(self, event: str, now_ms: float, **details: Detail) -> None:
         """Add a line about a decision; drop and count it if there is no room."""
-        if not self._has_room(now_ms):
+        self._write(self._routine, event, now_ms, details)
+
+    def write_milestone(self, event: str, now_ms: float, **details: Detail) -> None:
+        """Add a line about a start, a stop, a reload, a dependency or a version."""
+        self._write(self._milestones, event, now_ms, details)
+
+    def _write(
+        self,
+        rate: _Rate,
+        event: str,
+        now_ms: float,
+        details: dict[str, Detail],
+    ) -> None:
+        is_buffer_free = len(self._buffer) < self._options.buffered_lines
+        if not (rate.admit(now_ms) and is_buffer_free):
             self.suppressed += 1
             self._unreported += 1
             return
@@ -69,15 +115,6 @@
             return
         self._rest = self._rest[written:]
 
-    def _has_room(self, now_ms: float) -> bool:
-        second = int(now_ms // MS_PER_S)
-        if second != self._second:
-            self._second = second
-            self._lines_in_second = 0
-        self._lines_in_second += 1
-        is_in_rate = self._lines_in_second <= self._options.lines_per_s
-        return is_in_rate and len(self._buffer) < self._options.buffered_lines
-
     def _add(self, event: str, now_ms: float, details: dict[str, Detail]) -> None:
         row = {
             'time': round(self._read_wall_clock(), 3),
--- a/src/cardamomtiller/forwarding/node.py
+++ b/src/cardamomtiller/forwarding/node.py
@@ -130,13 +130,15 @@
             Called after the first packets were forwarded.
         """
         self._handle_signals()
-        self._log.write('process_started', steady_ms(), phase=self._phase.value)
+        self._log.write_milestone(
+            'process_started', steady_ms(), phase=self._phase.value
+        )
         self._poller.register(self._wake_reader, select.EPOLLIN)
         self._turn()
         self._read_endpoint_options = read_endpoint_options
         self._open_endpoints(read_endpoint_options())
         self._forward_until_stopped()
-        self._log.write('process_stopped', steady_ms())
+        self._log.write_milestone('process_stopped', steady_ms())
         self._log.flush()
 
     def _handle_signals(self) -> None:
@@ -278,7 +280,7 @@
         now_ms: float,
         error: str | None,
     ) -> None:
-        self._log.write(
+        self._log.write_milestone(
             event,
             now_ms,
             host=reading.host,
@@ -296,7 +298,7 @@
     def _start_serving(self, now_ms: float) -> None:
         self._phase = Phase.SERVING
         self._poller.register(self._packets.fileno(), select.EPOLLIN)
-        self._log.write(
+        self._log.write_milestone(
             'serving',
             now_ms,
             configuration=self._forwarder.configuration.version,
@@ -322,12 +324,12 @@
             options = self._read_endpoint_options()
         except (OSError, ValueError, KeyError, TypeError) as error:
             self._meters.count('reloads_failed')
-            self._log.write('reload_failed', now_ms, error=repr(error))
+            self._log.write_milestone('reload_failed', now_ms, error=repr(error))
             return
         if self._endpoints is not None:
             self._endpoints.reload(options)
         seeds = ','.join(options.exchange.seeds)
-        self._log.write('reloaded', now_ms, seeds=seeds)
+        self._log.write_milestone('reloaded', now_ms, seeds=seeds)
 
     def _answer_health_check(self, _request: 'Request', _now_ms: float) -> 'Reply':
         from cardamomtiller.forwarding.httpserver import Reply
@@ -345,7 +347,7 @@
         self._phase = Phase.STOPPING
         now_ms = steady_ms()
         self._stop_at_ms = now_ms + self._options.stop_ms
-        self._log.write('stop_asked', now_ms, stop_ms=self._options.stop_ms)
+        self._log.write_milestone('stop_asked', now_ms, stop_ms=self._options.stop_ms)
         if self._endpoints is not None:
             self._endpoints.leave(now_ms)
 
--- a/src/cardamomtiller/forwarding/options.py
+++ b/src/cardamomtiller/forwarding/options.py
@@ -79,4 +79,8 @@
     suspicious_unanswered=1.5,
     unknown_ms=2500,
 )
-DEFAULT_LOG = LogOptions(lines_per_s=500, buffered_lines=4000)
+DEFAULT_LOG = LogOptions(
+    lines_per_s=500,
+    milestones_per_s=100,
+    buffered_lines=4000,
+)
--- a/src/cardamomtiller/forwarding/replica.py
+++ b/src/cardamomtiller/forwarding/replica.py
@@ -134,7 +134,7 @@
             self._apply_record(record, now_ms)
         for key in tuple(self._unlisted(batch)):
             self._remove(Record(key, batch.revision, None), now_ms)
-        self._log.write(
+        self._log.write_milestone(
             'records_listed',
             now_ms,
             records=len(batch.records),
--- a/src/cardamomtiller/forwarding/reporting.py
+++ b/src/cardamomtiller/forwarding/reporting.py
@@ -44,7 +44,7 @@
         now_ms: float,
     ) -> None:
         """Report a configuration that is in force now."""
-        self._log.write(
+        self._log.write_milestone(
             'configuration_in_force',
             now_ms,
             version=configuration.version,
@@ -60,7 +60,7 @@
     ) -> None:
         """Report a configuration that is older than the one in force."""
         self.meters.count('configuration_older')
-        self._log.write(
+        self._log.write_milestone(
             'configuration_ignored',
             now_ms,
             version=configuration.version,
--- a/tests/features/forwarding_live.feature
+++ b/tests/features/forwarding_live.feature
@@ -16,6 +16,9 @@
   Scenario: A reader of the log that does not read stops the packets
     Then an instance whose log is not read still serves and counts what it dropped
 
+  Scenario: The log of a long list of records hides when a process began to serve
+    Then a flood of lines does not displace the line that says that it serves
+
   Scenario: An instance that pauses opens flows at several upstreams
     Then users of one of them that dies go on, and no other flow is reset
 
--- a/tests/features/steps/forwarding_live_steps.py
+++ b/tests/features/steps/forwarding_live_steps.py
@@ -152,7 +152,7 @@
 @then('an instance whose log is not read still serves and counts what it dropped')
 def step_unread_log(context):
     reader, writer = os.pipe()
-    log = rig.DecisionLog('test', rig.LogOptions(10_000, 50), lambda: 0.0)
+    log = rig.DecisionLog('test', rig.LogOptions(10_000, 10, 50), lambda: 0.0)
     os.set_blocking(writer, False)
     started_s = time.monotonic()
     for number in range(20_000):
@@ -171,6 +171,23 @@
     os.close(writer)
 
 
+@then('a flood of lines does not displace the line that says that it serves')
+def step_displaced_milestone(context):
+    log = rig.DecisionLog('test', rig.LogOptions(100, 10, 1000), lambda: 0.0)
+    for _ in range(5000):
+        log.write('upstream_entry', 1000)
+    for _ in range(11):
+        log.write_milestone('serving', 1000)
+    reader, writer = os.pipe()
+    log.flush(writer)
+    lines = os.read(reader, 1 << 20).splitlines()
+    os.close(reader)
+    os.close(writer)
+    assert sum(b'"serving"' in line for line in lines) == 10
+    assert sum(b'"upstream_entry"' in line for line in lines) == 100
+    assert log.suppressed == 4901
+
+
 @then('users of one of them that dies go on, and no other flow is reset')
 def step_copied_opens(context):
     deployment = Deployment({'a': 1}, {'orders': 4}, PAUSE_SUBNET)
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -60,7 +60,7 @@
         rig.HeaderFormat(),
         rig.CLIENT_PORT,
         DEFAULT_FORWARDING,
-        rig.DecisionLog('test', rig.LogOptions(100, 100), lambda: 0.0),
+        rig.DecisionLog('test', rig.LogOptions(100, 100, 100), lambda: 0.0),
         rig.Meters(),
     )
     assert not rig.handle(fresh, rig.opening(1000), 0)
--- a/tests/forwarding_rig.py
+++ b/tests/forwarding_rig.py
@@ -134,7 +134,7 @@
     domain=HOME,
 ):
     """Return a forwarder with a configuration and some upstreams."""
-    log = DecisionLog('test', LogOptions(10_000, 10_000), lambda: 0.0)
+    log = DecisionLog('test', LogOptions(10_000, 100, 10_000), lambda: 0.0)
     made = policy(domain, HeaderFormat(), CLIENT_PORT, options, log, Meters())
     made.take_configuration(configuration(), 0)
     for name in names:
