Keep members of a large failure domain agreed on whom they read from

Cause: in a trial restart of 300 instances, followers went from reader to reader every few seconds (replicas 2 to 3.6 s old). With 75 members, an instance heard too seldom of each other one within the 8 s that it remembers them, so tables lost members, among them the first by rank; and instances that started together told the same member at each turn. Change: everybody announces itself to the leading three members in turn, every announcement tells of them, load reports and replica answers count as a sign of life, and turns start at different members. Ruled out: a longer memory (a dead reader would be asked for longer) and more announcements (bytes).

--- a/src/cardamomtiller/forwarding/endpoints.py
+++ b/src/cardamomtiller/forwarding/endpoints.py
@@ -102,6 +102,10 @@
         self.answer_waiting(now_ms)
         return self._exchange.table.peers()
 
+    def hear(self, host: str, now_ms: float) -> None:
+        """Take an answer of another instance as a sign of life."""
+        self._exchange.table.touch(host, now_ms)
+
     def reload(self, options: EndpointOptions) -> None:
         """Take the settings that may change while the process runs: the seeds."""
         self._exchange.seeds = options.exchange.seeds
--- a/src/cardamomtiller/forwarding/exchange.py
+++ b/src/cardamomtiller/forwarding/exchange.py
@@ -169,6 +169,7 @@
                 'load_report_malformed', now_ms, host=host, error=str(error)
             )
             return
+        self.table.touch(host, now_ms)
         answer = self._sharing.take(sender, report, now_ms)
         if answer is not None:
             self._send_report(host, answer)
--- a/src/cardamomtiller/forwarding/fleet.py
+++ b/src/cardamomtiller/forwarding/fleet.py
@@ -1,23 +1,28 @@
 """The other instances, as announcements tell of them.
 
 Every instance announces itself a few times a second while it is new and once a
-second later, to a seed and to some instances of its failure domain. Announcements
-pass on other members, so each instance comes to know its failure domain. Nothing
-depends on a complete table: an instance that knows nobody works alone.
+second later: to a seed, to one of the leading members of its failure domain and to
+some others. The leading members, first by rank, thus hear from everybody directly,
+and every announcement tells of them, so that all instances agree on whom they read
+from however large the failure domain is. Nothing depends on a complete table: an
+instance that knows nobody works alone.
 """
 
 from collections.abc import Iterable, Iterator, Sequence
 from itertools import chain, islice
 from typing import NamedTuple, TypeVar
+from zlib import crc32
 
 import ujson
 
-from cardamomtiller.forwarding.member import Member, rank
+from cardamomtiller.forwarding.member import READERS, Member, rank
 from cardamomtiller.ids import DomainName, InstanceId
 
 ItemT = TypeVar('ItemT')
 
 MESSAGE_VERSION = 1
+# Members of a failure domain, first by rank, that everybody keeps in touch with.
+LEADING = READERS
 
 
 class FleetOptions(NamedTuple):
@@ -31,9 +36,9 @@
     new_interval_ms, new_for_ms
         Time between announcements of an instance that has just started.
     fanout
-        Members that get each announcement, besides a seed.
+        Members that get each announcement, besides a leading one and a seed.
     passed_on
-        Other members that an announcement tells of.
+        Members that an announcement tells of, besides the leading ones.
     kept_ms
         How long a member that is not heard of stays in the table.
     """
@@ -123,7 +128,8 @@
         """Start with nobody but this instance."""
         self.me = me
         self._options = options
-        self._turn = 0
+        # Members that started together would otherwise all tell the same one.
+        self._turn = crc32(me.host.encode())
         self._members: dict[str, Member] = {}
         self._heard_ms: dict[str, float] = {}
         self._left_ms: dict[str, float] = {}
@@ -160,6 +166,12 @@
         self.expire(now_ms)
         return is_new
 
+    def touch(self, host: str, now_ms: float) -> None:
+        """Take a message of another kind as a sign of life of a known member."""
+        member = self._members.get(host)
+        if member is not None:
+            self._hear(member, now_ms)
+
     def expire(self, now_ms: float) -> None:
         """Forget members that have not been heard of for long."""
         oldest_ms = now_ms - self._options.kept_ms
@@ -178,8 +190,13 @@
         is_leaving: bool = False,
     ) -> Announcement:
         """Return an announcement for a receiver in a failure domain."""
-        known = [one for one in self._members.values() if one.domain == domain]
-        told = [*self._in_turn(known, self._options.passed_on), *self._firsts(domain)]
+        ranked = rank(one for one in self._members.values() if one.domain == domain)
+        leading, others = ranked[:LEADING], ranked[LEADING:]
+        told = chain(
+            leading,
+            self._in_turn(others, self._options.passed_on),
+            self._firsts(domain),
+        )
         return Announcement(
             self.me,
             is_reply_wanted,
@@ -193,7 +210,12 @@
     def receivers(self, seeds: Iterable[str]) -> Iterator[tuple[str, DomainName]]:
         """Iterate over the hosts that get the next announcement."""
         self._turn += 1
-        for peer in self._in_turn(self.peers(), self._options.fanout):
+        ranked = rank(self.peers())
+        told = chain(
+            self._in_turn(ranked[:LEADING], 1),
+            self._in_turn(ranked[LEADING:], self._options.fanout),
+        )
+        for peer in told:
             yield peer.host, peer.domain
         others = [seed for seed in seeds if seed != self.me.host]
         for seed in self._in_turn(others, 1):
@@ -253,7 +275,7 @@
     interval_ms=1000,
     new_interval_ms=200,
     new_for_ms=3000,
-    fanout=2,
-    passed_on=8,
+    fanout=1,
+    passed_on=4,
     kept_ms=8000,
 )
--- a/src/cardamomtiller/forwarding/member.py
+++ b/src/cardamomtiller/forwarding/member.py
@@ -5,6 +5,9 @@
 
 from cardamomtiller.ids import DomainName, InstanceId
 
+# Members of a failure domain that read for the others, one after the other fails.
+READERS = 3
+
 
 class Member(NamedTuple):
     """
--- a/src/cardamomtiller/forwarding/node.py
+++ b/src/cardamomtiller/forwarding/node.py
@@ -253,6 +253,8 @@
         if reading.batch is None:
             self._meters.count('readings_failed')
             return
+        if self._endpoints is not None and not reading.is_from_source:
+            self._endpoints.hear(reading.host, now_ms)
         if not self._replica.apply(reading.batch, reading.confirmed_ms, now_ms):
             self._meters.count('readings_outdated')
         if self._phase is Phase.STARTING and self._replica.is_complete:
--- a/src/cardamomtiller/forwarding/sources.py
+++ b/src/cardamomtiller/forwarding/sources.py
@@ -10,10 +10,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from cardamomtiller.forwarding.member import Member, rank
-
-# Members of a failure domain that read for the others, one after the other fails.
-CANDIDATES = 3
+from cardamomtiller.forwarding.member import READERS, Member, rank
 
 
 class SourceOptions(NamedTuple):
@@ -70,7 +67,7 @@
             itself stands for the published source; it is also the last resort.
         """
         ranked = rank([self._me, *peers])
-        for member in ranked[:CANDIDATES]:
+        for member in ranked[:READERS]:
             if self._avoided_until_ms.get(member.host, now_ms) <= now_ms:
                 return member
         return self._me
--- a/tests/features/forwarding_fleet.feature
+++ b/tests/features/forwarding_fleet.feature
@@ -4,6 +4,9 @@
     Then one member of a failure domain reads the source and the others follow it
     And members come to know their failure domain from one seed
 
+  Scenario: Members of a large failure domain forget each other and read from different ones
+    Then all of 75 members agree on the reader for a minute, and it knows all of them
+
   Scenario: A reader that fails holds back changes
     Then an instance goes to the next member when its reader fails
     And an instance that knows nobody reads the source
--- a/tests/features/steps/forwarding_fleet_steps.py
+++ b/tests/features/steps/forwarding_fleet_steps.py
@@ -26,7 +26,7 @@
     decode_report,
     encode_report,
 )
-from cardamomtiller.forwarding.member import Member
+from cardamomtiller.forwarding.member import Member, rank
 from cardamomtiller.forwarding.packet import Token
 from cardamomtiller.forwarding.records import (
     NO_REVISION,
@@ -44,6 +44,7 @@
 SEED = 20261205
 SOURCES = SourceOptions(stale_ms=1800, avoided_ms=3000)
 TOKEN = Token(7)
+LOST_SHARE = 0.1
 
 
 def member(number, domain='a', capacity=100.0):
@@ -117,6 +118,51 @@
     )
 
 
+@then('all of 75 members agree on the reader for a minute, and it knows all of them')
+def step_large_domain(context):
+    generator = Random(5)
+    tables = [
+        MemberTable(member(number, domain='ab'[number % 2]), DEFAULT_FLEET)
+        for number in range(150)
+    ]
+    by_host = {table.me.host: table for table in tables}
+    seed = tables[0].me.host
+    pause_ms = 100
+    for now_ms in range(0, 60_000, pause_ms):
+        for number, table in enumerate(tables):
+            if (now_ms + number * pause_ms) % table.interval_ms(now_ms) >= pause_ms:
+                continue
+            table.expire(now_ms)
+            # The reader that an instance has chosen answers it about once a second.
+            reader = rank([table.me, *table.peers()])[0]
+            if generator.random() >= LOST_SHARE:
+                table.touch(reader.host, now_ms)
+            for host, domain in list(table.receivers([seed])):
+                if generator.random() < LOST_SHARE:
+                    continue
+                message = encode_announcement(table.announcement(domain, now_ms))
+                is_alone = not table.peers()
+                by_host[host].take(decode_announcement(message), now_ms)
+                if is_alone:
+                    reply = by_host[host].announcement(table.me.domain, now_ms)
+                    table.take(reply, now_ms)
+        if now_ms >= 10_000:
+            check_readers(tables, now_ms)
+
+
+def check_readers(tables, now_ms):
+    """Check that members agree on the first of each domain, and it knows all."""
+    everybody = [table.me for table in tables]
+    for domain in 'ab':
+        (first, *_) = rank(one for one in everybody if one.domain == domain)
+        for table in tables:
+            if table.me.domain != domain:
+                continue
+            assert rank([table.me, *table.peers()])[0] == first, (now_ms, table.me)
+            if table.me == first:
+                assert len(table.peers()) == 74, (now_ms, len(table.peers()))
+
+
 @then('an instance goes to the next member when its reader fails')
 def step_next_reader(context):
     members = [member(number) for number in range(5)]
