Tell seeds less often once an instance is settled

Cause: each instance sent an announcement of about 700 bytes a second to a seed, two in three of them in other failure domains, where bytes are dear. Leading members of the failure domains already exchange load reports, which now count as signs of life, so seeds matter for new instances only.

--- a/src/cardamomtiller/forwarding/exchange.py
+++ b/src/cardamomtiller/forwarding/exchange.py
@@ -97,11 +97,12 @@
         """Send an announcement if it is time."""
         if now_ms < self._announce_at_ms:
             return
-        interval_ms = self.table.interval_ms(now_ms - self._started_ms)
+        age_ms = now_ms - self._started_ms
+        interval_ms = self.table.interval_ms(age_ms)
         self._announce_at_ms = now_ms + interval_ms
         self.table.expire(now_ms)
         is_alone = not self.table.peers()
-        for host, domain in self.table.receivers(self.seeds):
+        for host, domain in self.table.receivers(self.seeds, age_ms):
             self._send(host, domain, now_ms, is_reply_wanted=is_alone)
 
     def share_load(self, now_ms: float) -> None:
--- a/src/cardamomtiller/forwarding/fleet.py
+++ b/src/cardamomtiller/forwarding/fleet.py
@@ -23,6 +23,8 @@
 MESSAGE_VERSION = 1
 # Members of a failure domain, first by rank, that everybody keeps in touch with.
 LEADING = READERS
+# Every how many announcements an instance that is not new tells a seed.
+SEED_TURNS = 4
 
 
 class FleetOptions(NamedTuple):
@@ -207,8 +209,21 @@
             ),
         )
 
-    def receivers(self, seeds: Iterable[str]) -> Iterator[tuple[str, DomainName]]:
-        """Iterate over the hosts that get the next announcement."""
+    def receivers(
+        self,
+        seeds: Iterable[str],
+        age_ms: float,
+    ) -> Iterator[tuple[str, DomainName]]:
+        """
+        Iterate over the hosts that get the next announcement.
+
+        Parameters
+        ----------
+        seeds
+            Hosts that new instances ask first; most are in other failure domains.
+        age_ms
+            Time since this instance has started.
+        """
         self._turn += 1
         ranked = rank(self.peers())
         told = chain(
@@ -217,9 +232,14 @@
         )
         for peer in told:
             yield peer.host, peer.domain
+        turn = self._turn
+        if age_ms >= self._options.new_for_ms:
+            turn, rest = divmod(turn, SEED_TURNS)
+            if rest:
+                return
         others = [seed for seed in seeds if seed != self.me.host]
-        for seed in self._in_turn(others, 1):
-            yield seed, self.me.domain
+        if others:
+            yield others[turn % len(others)], self.me.domain
 
     def interval_ms(self, age_ms: float) -> float:
         """Return the time to the next announcement of an instance of an age."""
