Let users of an unreachable upstream go at once

Cause: while the rest of a pool was at nine tenths of its slots, the reset of a flow whose upstream is certainly out of reach was held back for up to two retransmissions. Change: the rule, its two options and its counter are removed. Its two steps are replaced by one that is stricter: the reset comes with the first packet, whatever the load; it failed before.

--- a/src/cardamomtiller/forwarding/forwarder.py
+++ b/src/cardamomtiller/forwarding/forwarder.py
@@ -185,33 +185,11 @@
             return
         self.observer.observe(packet, upstream, now_ms)
         if packet.payload_bytes and self.observer.is_unreachable(upstream):
-            if self.observer.has_waited(packet.flow) or self._has_room(upstream):
-                yield self._give_up(packet, upstream, ResetReason.UNREACHABLE, now_ms)
-                return
-            # The client sends the packet again and is let go when there is room.
-            self._reporter.meters.count('resets_held')
+            yield self._give_up(packet, upstream, ResetReason.UNREACHABLE, now_ms)
+            return
         self._reporter.meters.count('packets_forwarded')
         yield _to_upstream(upstream, datagram)
 
-    def _has_room(self, gone: Upstream) -> bool:
-        """
-        Return whether the rest of a pool can take the flows of a gone upstream.
-
-        The load this answers: a failure domain that is cut off at the peak of a
-        swing. Its upstreams would get the users of all others at once, and everybody
-        would be late; so users return as fast as there are slots, and after two
-        retransmissions in any case.
-        """
-        pool = [
-            one
-            for one in self.directory.pool(gone.entry.service)
-            if not self.observer.is_unreachable(one)
-        ]
-        loads = [self.observer.loads.of(one.token) for one in pool]
-        busy = sum(load.in_progress + load.others_busy for load in loads)
-        slots = sum(one.entry.slots for one in pool)
-        return busy < self._options.reset_utilisation * slots
-
     def _refuse_unknown(self, packet: Packet, now_ms: float) -> Iterator[Delivery]:
         """Drop a packet whose upstream is unknown, or reset its flow if it is gone."""
         self._drop(DropReason.UNKNOWN_TOKEN, packet, now_ms)
--- a/src/cardamomtiller/forwarding/observing.py
+++ b/src/cardamomtiller/forwarding/observing.py
@@ -63,13 +63,6 @@
             self._hear(upstream, now_ms)
         self._account(flow, observation, now_ms)
 
-    def has_waited(self, key: FlowKey) -> bool:
-        """Return whether a flow has waited long enough to be reset in any case."""
-        flow = self._flows.find(key)
-        return (
-            flow is None or flow.retransmissions >= self._options.reset_retransmissions
-        )
-
     def is_unreachable(self, upstream: Upstream) -> bool:
         """Return whether an upstream is certainly out of reach."""
         return self.reachability.verdict(upstream.token) is Verdict.UNREACHABLE
--- a/src/cardamomtiller/forwarding/options.py
+++ b/src/cardamomtiller/forwarding/options.py
@@ -28,11 +28,6 @@
     neighbour_ms
         Time without a sign of life after which an upstream is suspected because
         another one of its failure domain is unreachable.
-    reset_utilisation
-        Utilisation of the rest of a pool below which flows of an unreachable
-        upstream are reset at once.
-    reset_retransmissions
-        Retransmissions after which they are reset in any case.
     suspicious_unanswered
         Unanswered requests of other instances that are a suspicion.
     unknown_ms
@@ -46,8 +41,6 @@
     departed_kept_ms: float
     suspicious_flows: int
     neighbour_ms: float
-    reset_utilisation: float
-    reset_retransmissions: int
     suspicious_unanswered: float
     unknown_ms: float
 
@@ -74,8 +67,6 @@
     departed_kept_ms=60_000,
     suspicious_flows=2,
     neighbour_ms=300,
-    reset_utilisation=0.9,
-    reset_retransmissions=2,
     suspicious_unanswered=1.5,
     unknown_ms=2500,
 )
--- a/tests/features/forwarding.feature
+++ b/tests/features/forwarding.feature
@@ -42,9 +42,8 @@
     And an answer on another path does not make an upstream reachable
     And the upstreams of a failure domain are suspected together
 
-  Scenario: All users of a cut failure domain return at once to a busy pool
-    Then users return at once while the rest of the pool has room
-    And users of a busy pool return after two retransmissions at the latest
+  Scenario: Users of a cut failure domain wait although their upstream is given up
+    Then users of an unreachable upstream are let go at once, however busy the others are
 
   Scenario: Packets of an upload that overtake each other look like silence
     Then reordered packets of a window are no retransmissions
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -299,25 +299,17 @@
     return token, first
 
 
-@then('users return at once while the rest of the pool has room')
-def step_room(context):
-    forwarder = rig.make_forwarder()
-    token, port = make_gone(forwarder)
-    (delivery,) = rig.handle(forwarder, retransmission(port, token), 100)
-    assert rig.is_reset(delivery)
-
-
-@then('users of a busy pool return after two retransmissions at the latest')
-def step_no_room(context):
-    forwarder = rig.make_forwarder()
-    token, port = make_gone(forwarder)
-    for busy in range(2000, 2004):
-        rig.open_flow(forwarder, busy, 50)
-    answers = [
-        rig.handle(forwarder, retransmission(port, token), at_ms)[0]
-        for at_ms in (100, 300, 700)
-    ]
-    assert [rig.is_reset(answer) for answer in answers] == [False, False, True]
+@then(
+    'users of an unreachable upstream are let go at once, however busy the others are'
+)
+def step_busy_pool(context):
+    for busy_flows in (0, 4, 40):
+        forwarder = rig.make_forwarder()
+        token, port = make_gone(forwarder)
+        for busy in range(busy_flows):
+            rig.open_flow(forwarder, 2000 + busy, 50)
+        (delivery,) = rig.handle(forwarder, retransmission(port, token), 100)
+        assert rig.is_reset(delivery)
 
 
 def observe(flow, seq, now_ms):
