--- a/src/cardamomtiller/forwarding/node.py
+++ b/src/cardamomtiller/forwarding/node.py
@@ -142,7 +142,6 @@
         self._read_endpoint_options = read_endpoint_options
         self._open_endpoints(read_endpoint_options())
         self._forward_until_stopped()
-        self._follower.stop()
         self._log.write_milestone('process_stopped', steady_ms())
         self._log.flush()
 
@@ -162,6 +161,7 @@
             if now_ms >= tick_at_ms:
                 tick_at_ms = now_ms + self._options.tick_ms
                 self._tick(now_ms)
+        self._follower.stop()
 
     def _log_defect(self, error: Exception) -> None:
         import traceback
