Take over changed settings without a signal, and forward what waited first

Cause: the settings file may change without a signal, but was read again only after SIGHUP. A process now compares the content once a second; a file that cannot be read or understood leaves the old settings in force. The step of the live scenario failed before (no reload) and covers a changed and a broken file. Ruled out: the time of the last change, which a stepped clock may repeat.

--- a/src/cardamomtiller/forwarding/node.py
+++ b/src/cardamomtiller/forwarding/node.py
@@ -4,7 +4,7 @@
 import select
 import signal
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from enum import Enum
 from types import FrameType
 from typing import TYPE_CHECKING, NamedTuple
@@ -22,6 +22,7 @@
 from cardamomtiller.forwarding.reachability import ProbeResult
 from cardamomtiller.forwarding.records import RecordDecoder, RecordSource
 from cardamomtiller.forwarding.replica import Replica
+from cardamomtiller.forwarding.settingswatch import SettingsSource, SettingsWatch
 from cardamomtiller.forwarding.sources import SourceChoice, SourceOptions
 from cardamomtiller.forwarding.upstreams import SocketAddress
 from cardamomtiller.ids import MS_PER_S, DomainName, RegionName
@@ -105,7 +106,6 @@
         self._follower.start()
         self._phase = Phase.STARTING
         self._stop_at_ms: float | None = None
-        self._reload_asked = False
         self._lost_hosts: dict[str, str] = {}
         self._read_from = ''
         self._meters = Meters()
@@ -124,23 +124,24 @@
         probe_timeout_ms = options.forwarding.reachability.probe_timeout_ms
         self._prober = Prober(self._poller, probe_timeout_ms)
 
-    def run(self, read_endpoint_options: 'Callable[[], EndpointOptions]') -> None:
+    def run(self, settings: SettingsSource) -> None:
         """
         Forward until asked to stop.
 
         Parameters
         ----------
-        read_endpoint_options
-            Called after the first packets were forwarded.
+        settings
+            Read after the first packets were forwarded, and when they change.
         """
+        self._settings = settings
+        self._settings_watch = SettingsWatch(settings)
         self._handle_signals()
         self._log.write_milestone(
             'process_started', steady_ms(), phase=self._phase.value
         )
         self._poller.register(self._wake_reader, select.EPOLLIN)
         self._turn()
-        self._read_endpoint_options = read_endpoint_options
-        self._open_endpoints(read_endpoint_options())
+        self._open_endpoints(settings.endpoint_options())
         self._forward_until_stopped()
         self._log.write_milestone('process_stopped', steady_ms())
         self._log.flush()
@@ -311,6 +312,8 @@
             configuration=self._forwarder.configuration.version,
             revision=self._replica.revision,
         )
+        # Packets have waited in the socket; what follows takes long.
+        self._forward()
 
     def _tick(self, now_ms: float) -> None:
         self._forwarder.steady_for_ms = self._replica.steady_for_ms(now_ms)
@@ -318,8 +321,7 @@
         self._probe(now_ms)
         if self._endpoints is not None:
             self._follower.peers = self._endpoints.tick(now_ms)
-        if self._reload_asked:
-            self._reload_asked = False
+        if self._settings_watch.is_reload_due(now_ms):
             self._reload(now_ms)
         self._meters.gauge('replica_age_ms', self._replica.age_ms(now_ms))
         self._meters.gauge('log_lines_suppressed', self._log.suppressed)
@@ -328,7 +330,7 @@
     def _reload(self, now_ms: float) -> None:
         """Read the settings again; keep the old ones if they cannot be read."""
         try:
-            options = self._read_endpoint_options()
+            options = self._settings.endpoint_options()
         except (OSError, ValueError, KeyError, TypeError) as error:
             self._meters.count('reloads_failed')
             self._log.write_milestone('reload_failed', now_ms, error=repr(error))
@@ -359,7 +361,7 @@
             self._endpoints.leave(now_ms)
 
     def _ask_to_reload(self, _signal: int, _frame: FrameType | None) -> None:
-        self._reload_asked = True
+        self._settings_watch.ask()
 
     def _wake(self) -> None:
         try:
--- /dev/null
+++ b/src/cardamomtiller/forwarding/settingswatch.py
@@ -0,0 +1,75 @@
+"""When the settings of a running process are read again."""
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cardamomtiller.forwarding.endpoints import EndpointOptions
+
+CHECK_INTERVAL_MS = 1000.0
+
+
+class SettingsSource(ABC):
+    """Where a process reads its settings."""
+
+    @abstractmethod
+    def content(self) -> bytes:
+        """
+        Return the settings as they are written.
+
+        Raises
+        ------
+        OSError
+            If they cannot be read.
+        """
+
+    @abstractmethod
+    def endpoint_options(self) -> 'EndpointOptions':
+        """
+        Return the options that the settings mean.
+
+        Raises
+        ------
+        OSError, ValueError, KeyError, TypeError
+            If they cannot be read, or are not as agreed.
+        """
+
+
+class SettingsWatch:
+    """
+    Decides when to read the settings again: on request, and when they differ.
+
+    The settings may change without a signal, and a signal may come without a change.
+    """
+
+    def __init__(self, source: SettingsSource) -> None:
+        """Start without a known content."""
+        self._source = source
+        self._content: bytes | None = None
+        self._check_at_ms: float = 0
+        self._is_asked = False
+
+    def ask(self) -> None:
+        """Have the settings read again at the next look."""
+        self._is_asked = True
+
+    def is_reload_due(self, now_ms: float) -> bool:
+        """Return whether the settings are to be read again now."""
+        if self._is_asked:
+            self._is_asked = False
+            return True
+        if now_ms < self._check_at_ms:
+            return False
+        self._check_at_ms = now_ms + CHECK_INTERVAL_MS
+        return self._has_changed()
+
+    def _has_changed(self) -> bool:
+        try:
+            content = self._source.content()
+        except OSError:
+            # A file that is being replaced is there again at the next look; reading
+            # it on request reports the error.
+            return False
+        before = self._content
+        self._content = content
+        return before is not None and content != before
--- a/tests/features/steps/forwarding_live_steps.py
+++ b/tests/features/steps/forwarding_live_steps.py
@@ -18,6 +18,8 @@
 SOAK_S = 6
 # The bound of the platform for a change to be in force.
 CHANGE_S = 3.0
+# Time in which an instance looks at its settings, and some more for a busy machine.
+SETTINGS_S = 3.0
 METRICS_PORT = 9402
 
 
@@ -123,6 +125,17 @@
     assert all(one.poll() is None for one in deployment.processes.values())
     reloads = [row for row in events_of(deployment) if row['event'] == 'reloaded']
     assert len(reloads) == len(deployment.hosts)
+    first, *_ = deployment.hosts
+    deployment.change_settings(first, {'seeds': ['127.9.9.9:8166']})
+    time.sleep(SETTINGS_S)
+    reloads = [row for row in events_of(deployment) if row['event'] == 'reloaded']
+    assert [row['seeds'] for row in reloads].count('127.9.9.9') == 1
+    assert len(reloads) == len(deployment.hosts) + 1
+    deployment.change_settings(first, {'seeds': 7})
+    time.sleep(SETTINGS_S)
+    assert any(row['event'] == 'reload_failed' for row in events_of(deployment))
+    assert all(one.poll() is None for one in deployment.processes.values())
+    deployment.change_settings(first, {})
 
 
 @then('the metrics page shows the counters and histograms')
--- a/tools/packet_deployment.py
+++ b/tools/packet_deployment.py
@@ -544,6 +544,13 @@
         self.ends.close()
         self.store.close()
 
+    def change_settings(self, host: str, changes: dict[str, Any]) -> None:
+        """Write the settings of an instance with some changes, without a signal."""
+        path = self._settings_path(host)
+        written = path.with_suffix('.new')
+        written.write_text(json.dumps(self._settings(host) | changes))
+        written.replace(path)
+
     def _settings(self, host: str) -> dict[str, Any]:
         address, port = self._store_addresses.get(host, self.store.address)
         return {
