--- a/src/cardamomtiller/forwarding/fleet.py
+++ b/src/cardamomtiller/forwarding/fleet.py
@@ -23,8 +23,6 @@
 MESSAGE_VERSION = 2
 COMPRESSION_LEVEL = 1
 MAX_TEXT_BYTES = 65_536
-# Members of a failure domain, first by rank, that everybody keeps in touch with.
-LEADING = READERS
 # Every how many announcements an instance that is not new tells a seed.
 SEED_TURNS = 4
 
@@ -196,7 +194,7 @@
     ) -> Announcement:
         """Return an announcement for a receiver in a failure domain."""
         ranked = rank(one for one in self._members.values() if one.domain == domain)
-        leading, others = ranked[:LEADING], ranked[LEADING:]
+        leading, others = ranked[:READERS], ranked[READERS:]
         told = chain(
             leading,
             self._in_turn(others, self._options.passed_on),
@@ -230,8 +228,8 @@
         self._turn += 1
         ranked = rank(self.peers())
         told = chain(
-            self._in_turn(ranked[:LEADING], 1),
-            self._in_turn(ranked[LEADING:], self._options.fanout),
+            self._in_turn(ranked[:READERS], 1),
+            self._in_turn(ranked[READERS:], self._options.fanout),
         )
         for peer in told:
             yield peer.host, peer.domain
--- a/src/cardamomtiller/forwarding/member.py
+++ b/src/cardamomtiller/forwarding/member.py
@@ -5,7 +5,8 @@
 
 from cardamomtiller.ids import DomainName, InstanceId
 
-# Members of a failure domain that read for the others, one after the other fails.
+# Leading members of a failure domain: they read for the others, one after the other
+# fails, and everybody keeps in touch with them.
 READERS = 3
 
 
--- a/src/cardamomtiller/forwarding/settingswatch.py
+++ b/src/cardamomtiller/forwarding/settingswatch.py
@@ -61,15 +61,14 @@
         if now_ms < self._check_at_ms:
             return False
         self._check_at_ms = now_ms + CHECK_INTERVAL_MS
-        return self._has_changed()
+        return self._differs()
 
-    def _has_changed(self) -> bool:
+    def _differs(self) -> bool:
         try:
             content = self._source.content()
         except OSError:
-            # A file that is being replaced is there again at the next look; reading
-            # it on request reports the error.
-            return False
+            # Reading the settings again reports the error.
+            return True
         before = self._content
         self._content = content
         return before is not None and content != before
--- a/tests/features/forwarding_platform.feature
+++ b/tests/features/forwarding_platform.feature
@@ -26,3 +26,4 @@
 
   Scenario: Settings are read wrongly
     Then the settings of the platform become the options of a process
+    And changed settings are noticed once, unreadable ones and requests each time
--- a/tests/features/steps/forwarding_platform_steps.py
+++ b/tests/features/steps/forwarding_platform_steps.py
@@ -19,6 +19,11 @@
     Record,
     SourceError,
 )
+from cardamomtiller.forwarding.settingswatch import (
+    CHECK_INTERVAL_MS,
+    SettingsSource,
+    SettingsWatch,
+)
 from cardamomtiller.forwarding.upstreams import UpstreamEntry
 from tests import forwarding_rig as rig
 from tools.standins.store import Fault, Store
@@ -290,3 +295,35 @@
     endpoints = platform_settings.endpoint_options(platform_fields())
     assert endpoints.exchange.seeds == ('10.1.0.10', '10.2.0.40')
     assert endpoints.health_address == ('10.1.0.10', 8167)
+
+
+class ChangingSettings(SettingsSource):
+    """Settings whose content a test sets; None cannot be read."""
+
+    text: bytes | None = b'one'
+
+    def content(self):
+        """Return the content."""
+        if self.text is None:
+            raise FileNotFoundError('settings')
+        return self.text
+
+    def endpoint_options(self):
+        """Return nothing; only the watch is tested."""
+
+
+@then('changed settings are noticed once, unreadable ones and requests each time')
+def step_settings_watch(context):
+    source = ChangingSettings()
+    watch = SettingsWatch(source)
+    assert not watch.is_reload_due(0)
+    assert not watch.is_reload_due(CHECK_INTERVAL_MS)
+    source.text = b'two'
+    assert not watch.is_reload_due(CHECK_INTERVAL_MS + 1)
+    assert watch.is_reload_due(2 * CHECK_INTERVAL_MS)
+    assert not watch.is_reload_due(3 * CHECK_INTERVAL_MS)
+    watch.ask()
+    assert watch.is_reload_due(3 * CHECK_INTERVAL_MS)
+    source.text = None
+    assert watch.is_reload_due(4 * CHECK_INTERVAL_MS)
+    assert watch.is_reload_due(5 * CHECK_INTERVAL_MS)
