--- a/src/cardamomtiller/entrance/relay.py
+++ b/src/cardamomtiller/entrance/relay.py
@@ -1,11 +1,7 @@
 """Plain TCP entrance: relays each connection to an upstream of its service."""
 
 import asyncio
-import contextlib
-import hashlib
 import socket
-import struct
-from abc import ABC, abstractmethod
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -13,12 +9,16 @@
 from loguru import logger
 
 from cardamomtiller.counter import Counters
+from cardamomtiller.entrance.streamchoice import (
+    StreamChooser,
+    StreamLimit,
+)
+from cardamomtiller.entrance.streamsocket import bind, new_socket, prepare, reset
 from cardamomtiller.finding import Finding, Findings, Place
 from cardamomtiller.identity import (
     MS_PER_S,
     CustomerId,
     Endpoint,
-    InstanceId,
     OperatorState,
     ServiceName,
     UpstreamId,
@@ -28,115 +28,11 @@
 from cardamomtiller.lists.document import UpstreamRow
 from cardamomtiller.settings_pb2 import Settings
 
-BACKLOG = 512
 # A caller gives up after a few seconds, so more attempts would connect for nobody.
 CONNECT_ATTEMPTS = 4
-# Time for which an upstream that refused a connection is chosen last.
-AVOIDANCE_MS = 2000
 # Without file descriptors, accepting again at once would only spin.
 ACCEPT_PAUSE_MS = 100
 BIND_RETRY_MS = 500
-# Probes find a silent end within 90 s, long before the idle timeout of a day
-# that an order board may need.
-KEEPALIVE_IDLE_S = 60
-KEEPALIVE_INTERVAL_S = 10
-KEEPALIVE_PROBES = 3
-KEEPALIVE_OPTIONS = (
-    (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-    (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-    (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-)
-LINGER_RESET = struct.pack('ii', 1, 0)
-
-
-class StreamLimit(ABC):
-    """Limit on the plain TCP connections of a customer."""
-
-    @abstractmethod
-    def admit(self, customer: CustomerId, now_ms: float) -> bool:
-        """Return whether one more connection is within the allowance."""
-
-    @abstractmethod
-    def release(self, customer: CustomerId, now_ms: float) -> None:
-        """Return an admitted connection."""
-
-
-class StreamChooser(ABC):
-    """Choice of an upstream for a new connection."""
-
-    @abstractmethod
-    def choose(
-        self,
-        service: ServiceName,
-        exclude: frozenset[UpstreamId],
-        now_ms: float,
-    ) -> UpstreamRow | None:
-        """Return an upstream of the service outside ``exclude``, or None."""
-
-    @abstractmethod
-    def opened(self, upstream: UpstreamId) -> None:
-        """Learn that a connection to an upstream is open."""
-
-    @abstractmethod
-    def closed(self, upstream: UpstreamId) -> None:
-        """Learn that a connection to an upstream has ended."""
-
-    @abstractmethod
-    def connect_failed(self, upstream: UpstreamId, now_ms: float) -> None:
-        """Learn that an upstream could not be connected to."""
-
-
-class FewestConnections(StreamChooser):
-    """
-    Choose the upstream with the fewest connections relayed by this instance.
-
-    Ties are broken by a hash of the names of instance and upstream, so that
-    instances with few connections do not all prefer the same upstream.
-    """
-
-    def __init__(self, catalog: Callable[[], Catalog], instance: InstanceId) -> None:
-        """Start without connections."""
-        self._catalog = catalog
-        self._instance = instance
-        self._open: dict[UpstreamId, int] = {}
-        self._avoid_until_ms: dict[UpstreamId, float] = {}
-
-    def choose(
-        self,
-        service: ServiceName,
-        exclude: frozenset[UpstreamId],
-        now_ms: float,
-    ) -> UpstreamRow | None:
-        """Return the upstream with the fewest connections, or None."""
-        rows = (
-            row
-            for row in self._catalog().pools.get(service, ())
-            if row.stream_address is not None
-            and row.state is not OperatorState.LEAVING
-            and row.name not in exclude
-        )
-        return min(rows, key=lambda row: self._rank(row.name, now_ms), default=None)
-
-    def opened(self, upstream: UpstreamId) -> None:
-        """Count a connection."""
-        self._open[upstream] = self._open.get(upstream, 0) + 1
-        self._avoid_until_ms.pop(upstream, None)
-
-    def closed(self, upstream: UpstreamId) -> None:
-        """Forget a connection."""
-        remaining = self._open.pop(upstream, 0) - 1
-        if remaining > 0:
-            self._open[upstream] = remaining
-
-    def connect_failed(self, upstream: UpstreamId, now_ms: float) -> None:
-        """Choose this upstream last for a while."""
-        self._avoid_until_ms[upstream] = now_ms + AVOIDANCE_MS
-
-    def _rank(self, upstream: UpstreamId, now_ms: float) -> tuple[bool, int, bytes]:
-        is_avoided = self._avoid_until_ms.get(upstream, 0) > now_ms
-        names = f'{self._instance} {upstream}'.encode()
-        tie = hashlib.blake2b(names, digest_size=8).digest()
-        return (is_avoided, self._open.get(upstream, 0), tie)
 
 
 @dataclass(frozen=True, slots=True)
@@ -244,7 +140,7 @@
         findings = Findings()
         for service, address in sorted(self._wanted - set(self._listeners)):
             try:
-                listener = _bind(address)
+                listener = bind(address)
             except OSError as error:
                 self._counters.add('relay.bind_failed')
                 findings.add(Place('stream address', service, str(address)), str(error))
@@ -317,12 +213,12 @@
     async def _serve(self, service: ServiceName, caller: socket.socket) -> None:
         customer = self._admit(service)
         if customer is None:
-            _reset(caller)
+            reset(caller)
             return
         try:
             await self._relay(service, caller)
         except asyncio.CancelledError:
-            _reset(caller)
+            reset(caller)
             raise
         finally:
             caller.close()
@@ -340,17 +236,17 @@
         return customer
 
     async def _relay(self, service: ServiceName, caller: socket.socket) -> None:
-        _prepare(caller)
+        prepare(caller)
         connected = await self._connect(service)
         if connected is None:
-            _reset(caller)
+            reset(caller)
             return
         row, upstream = connected
         self._count_open(row.name, 1)
         try:
             await self._transfer(caller, upstream)
         except asyncio.CancelledError:
-            _reset(upstream)
+            reset(upstream)
             raise
         finally:
             upstream.close()
@@ -395,7 +291,7 @@
         address = row.stream_address
         if address is None:
             return None
-        upstream = _new_socket(address)
+        upstream = new_socket(address)
         try:
             await self._connect_socket(upstream, address)
         except TimeoutError:
@@ -406,7 +302,7 @@
             upstream.close()
             raise
         else:
-            _prepare(upstream)
+            prepare(upstream)
             self._counters.add('relay.opened')
             return upstream
         upstream.close()
@@ -434,8 +330,8 @@
         else:
             self._counters.add('relay.finished')
             return
-        _reset(caller)
-        _reset(upstream)
+        reset(caller)
+        reset(upstream)
 
     async def _pump(
         self,
@@ -526,33 +422,3 @@
 
 def _now_ms() -> float:
     return asyncio.get_running_loop().time() * MS_PER_S
-
-
-def _new_socket(address: Endpoint) -> socket.socket:
-    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
-    created = socket.socket(family, socket.SOCK_STREAM)
-    created.setblocking(False)
-    return created
-
-
-def _bind(address: Endpoint) -> socket.socket:
-    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
-    listener = socket.create_server(address.as_pair(), family=family, backlog=BACKLOG)
-    listener.setblocking(False)
-    return listener
-
-
-def _prepare(connection: socket.socket) -> None:
-    connection.setblocking(False)
-    # Small messages must not wait for the acknowledgement of the one before.
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, amount in KEEPALIVE_OPTIONS:
-        connection.setsockopt(socket.IPPROTO_TCP, option, amount)
-
-
-def _reset(connection: socket.socket) -> None:
-    # Setting an option fails when the other end has reset the connection already.
-    with contextlib.suppress(OSError):
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-    connection.close()
--- a/src/cardamomtiller/instance.py
+++ b/src/cardamomtiller/instance.py
@@ -19,13 +19,9 @@
 from cardamomtiller.counter import Counters, StatsdSender
 from cardamomtiller.datagrams.cookie import CookieSealer
 from cardamomtiller.entrance.dataplane import DataPlane
-from cardamomtiller.entrance.relay import (
-    FewestConnections,
-    Relay,
-    RelayOptions,
-    StreamLimit,
-)
+from cardamomtiller.entrance.relay import Relay, RelayOptions
 from cardamomtiller.entrance.routing import RoutingView
+from cardamomtiller.entrance.streamchoice import FewestConnections, StreamLimit
 from cardamomtiller.identity import (
     MS_PER_S,
     CustomerId,
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -12,12 +12,8 @@
 from behave import given, then, when
 
 from cardamomtiller.counter import Counters
-from cardamomtiller.entrance.relay import (
-    FewestConnections,
-    Relay,
-    RelayOptions,
-    StreamLimit,
-)
+from cardamomtiller.entrance.relay import Relay, RelayOptions
+from cardamomtiller.entrance.streamchoice import FewestConnections, StreamLimit
 from cardamomtiller.identity import (
     CustomerId,
     DomainName,
