Let users go whose request a lost upstream had taken

Change: when an upstream becomes unreachable, flows whose request has no answer are reset if the route's requests may be repeated and the client still waits. Ruled out: resetting flows of other routes, which clients could not repeat and which a cut-off upstream may still answer.

--- a/src/cardamomtiller/forwarding/configuration.py
+++ b/src/cardamomtiller/forwarding/configuration.py
@@ -14,13 +14,21 @@
 
 
 class Route(NamedTuple):
-    """Where the new flows of one address and port go, and what they carry."""
+    """
+    Where the new flows of one address and port go, and what they carry.
+
+    Attributes
+    ----------
+    is_repeatable
+        Whether a client may send a request again that may have been executed.
+    """
 
     name: str
     address: RouteAddress
     shares: tuple[Share, ...]
     timeout_ms: float
     target_latency_ms: float
+    is_repeatable: bool = False
 
     def service_of(self, hashed: int) -> ServiceName:
         """Return the service of a new flow, by a hash of the flow."""
--- a/src/cardamomtiller/forwarding/flows.py
+++ b/src/cardamomtiller/forwarding/flows.py
@@ -42,6 +42,7 @@
 
     __slots__ = (
         'acknowledged',
+        'asked_ms',
         'is_opened',
         'key',
         'payload_ms',
@@ -64,6 +65,8 @@
         self.sent_sequence: int | None = None
         # Start of the request in progress, None between requests.
         self.started_ms: float | None = None
+        # When the request that has no answer yet was sent, however long ago.
+        self.asked_ms: float | None = None
         self.requests = 0
         self.retransmissions = 0
 
@@ -97,6 +100,8 @@
             self.retransmissions += 1
             return Observation.RETRANSMISSION
         self.sent_sequence = packet.sequence
+        if self.asked_ms is None:
+            self.asked_ms = now_ms
         if self.started_ms is not None and not is_answered:
             return Observation.NOTHING
         return Observation.REQUEST
@@ -109,6 +114,7 @@
         self.acknowledged = acknowledged
         self.retransmissions = 0
         self.is_opened = True
+        self.asked_ms = None
         return before is not None
 
 
--- a/src/cardamomtiller/forwarding/forwarder.py
+++ b/src/cardamomtiller/forwarding/forwarder.py
@@ -9,6 +9,7 @@
     Route,
 )
 from cardamomtiller.forwarding.decisionlog import DecisionLog
+from cardamomtiller.forwarding.flows import Flow
 from cardamomtiller.forwarding.locality import Locality
 from cardamomtiller.forwarding.meters import Meters
 from cardamomtiller.forwarding.observing import Observer
@@ -117,6 +118,30 @@
         else:
             yield from self._continue(packet, datagram, now_ms)
 
+    def release_waiting(self, now_ms: float) -> Iterator[Delivery]:
+        """
+        Let clients go whose request an upstream took that is lost since the last call.
+
+        Such a client sends nothing more, so no packet of it could be answered, and it
+        would wait until its deadline. Only requests that may be repeated are released:
+        the others could not be sent again, and may still be answered.
+        """
+        for flow, upstream in self.observer.take_waiting():
+            if not self._may_repeat(flow, now_ms):
+                continue
+            reason = ResetReason.UNREACHABLE
+            self._reporter.reset(
+                flow.key, upstream.token, upstream, reason, self.steady_for_ms, now_ms
+            )
+            yield self._reset(flow.key, flow.acknowledged or 0)
+
+    def _may_repeat(self, flow: Flow, now_ms: float) -> bool:
+        """Return whether the client of a waiting flow still waits and may ask again."""
+        route = self.configuration.routes.get(flow.key.route)
+        if route is None or not route.is_repeatable or flow.asked_ms is None:
+            return False
+        return now_ms - flow.asked_ms < route.timeout_ms
+
     def sweep(self, now_ms: float) -> None:
         """Age out flows, requests that got lost, and departed upstreams."""
         self._unknown.expire(now_ms)
@@ -165,14 +190,14 @@
             self._drop(DropReason.NOT_CONFIGURED, packet, now_ms)
             return
         self._drop(DropReason.NO_ROUTE, packet, now_ms)
-        yield self._reset(packet)
+        yield self._reset(packet.flow, packet.acknowledged)
 
     def _refuse_unserved(self, packet: Packet, now_ms: float) -> Iterator[Delivery]:
         self._drop(DropReason.NO_UPSTREAM, packet, now_ms)
         # Entries may lapse while the source is away and be back before the client's
         # next copy; otherwise the service has no upstream, and the client may know.
         if self.steady_for_ms >= self._options.unknown_ms:
-            yield self._reset(packet)
+            yield self._reset(packet.flow, packet.acknowledged)
 
     def _continue(
         self,
@@ -206,12 +231,15 @@
         reason: ResetReason,
         now_ms: float,
     ) -> Delivery:
-        self._reporter.reset(packet, upstream, reason, self.steady_for_ms, now_ms)
-        return self._reset(packet)
+        self._reporter.reset(
+            packet.flow, packet.token, upstream, reason, self.steady_for_ms, now_ms
+        )
+        return self._reset(packet.flow, packet.acknowledged)
 
-    def _reset(self, packet: Packet) -> Delivery:
-        host = address_text(packet.flow.client).partition(':')[0]
-        return Delivery((host, self._client_port), self._format.reset(packet))
+    def _reset(self, flow: FlowKey, acknowledged: int) -> Delivery:
+        host = address_text(flow.client).partition(':')[0]
+        reset = self._format.reset(flow, acknowledged)
+        return Delivery((host, self._client_port), reset)
 
     def _drop(self, reason: DropReason, packet: Packet | None, now_ms: float) -> None:
         self._reporter.dropped(reason, packet, self.configuration.version, now_ms)
--- a/src/cardamomtiller/forwarding/node.py
+++ b/src/cardamomtiller/forwarding/node.py
@@ -4,14 +4,14 @@
 import select
 import signal
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from enum import Enum
 from types import FrameType
 from typing import TYPE_CHECKING, NamedTuple
 
 from cardamomtiller.forwarding.decisionlog import DecisionLog, LogOptions
 from cardamomtiller.forwarding.following import Follower, FollowOptions, Reading
-from cardamomtiller.forwarding.forwarder import Forwarder, deliver_all
+from cardamomtiller.forwarding.forwarder import Delivery, Forwarder, deliver_all
 from cardamomtiller.forwarding.locality import Locality
 from cardamomtiller.forwarding.member import Member
 from cardamomtiller.forwarding.meters import Meters
@@ -201,7 +201,13 @@
 
     def _forward(self) -> None:
         now_ms = steady_ms()
-        for delivery in deliver_all(self._forwarder, self._received(), now_ms):
+        self._send(deliver_all(self._forwarder, self._received(), now_ms), now_ms)
+        self._send(self._forwarder.release_waiting(now_ms), now_ms)
+        if self._forwarder.observer.reachability.is_probe_due:
+            self._probe(now_ms)
+
+    def _send(self, deliveries: Iterable[Delivery], now_ms: float) -> None:
+        for delivery in deliveries:
             try:
                 self._packets.sendto(delivery.datagram, delivery.address)
             except OSError as error:
@@ -212,8 +218,6 @@
                     address=f'{delivery.address[0]}:{delivery.address[1]}',
                     error=str(error),
                 )
-        if self._forwarder.observer.reachability.is_probe_due:
-            self._probe(now_ms)
 
     def _received(self) -> Iterator[bytes]:
         for _ in range(DATAGRAMS_PER_TURN):
@@ -244,6 +248,7 @@
         change = self._forwarder.observer.reachability.take_probe(token, result, now_ms)
         if change is not None:
             self._forwarder.observer.take_reachability(change, now_ms)
+            self._send(self._forwarder.release_waiting(now_ms), now_ms)
 
     def _take_readings(self) -> None:
         before = self._replica.revision
--- a/src/cardamomtiller/forwarding/observing.py
+++ b/src/cardamomtiller/forwarding/observing.py
@@ -1,5 +1,7 @@
 """What the packets of the clients tell about flows, load and silent upstreams."""
 
+from collections.abc import Iterator
+
 from cardamomtiller.forwarding.flows import Flow, FlowTable, Observation
 from cardamomtiller.forwarding.load import LoadBook, UpstreamLoad
 from cardamomtiller.forwarding.options import ForwardingOptions
@@ -26,6 +28,7 @@
         self._flows = FlowTable(options.flows)
         self.loads = LoadBook()
         self.reachability = Reachability(options.reachability)
+        self._lost: list[Upstream] = []
 
     def miss_open(self, packet: Packet, now_ms: float) -> UpstreamId | None:
         """Return the upstream that did not answer the copy before this one."""
@@ -73,12 +76,23 @@
         self._reporter.reachability_changed(change, upstream, now_ms)
         if upstream is None or change.verdict is not Verdict.UNREACHABLE:
             return
+        self._lost.append(upstream)
         # A failure domain that is cut off takes all of its upstreams with it.
         for neighbour in self._directory.in_domain(upstream.entry.domain):
             heard_ms = self.loads.of(neighbour.token).heard_ms
             if heard_ms is None or now_ms - heard_ms > self._options.neighbour_ms:
                 self._suspect(neighbour, 'neighbour_unreachable', now_ms)
 
+    def take_waiting(self) -> Iterator[tuple[Flow, Upstream]]:
+        """Iterate over flows whose request an upstream has that was lost just now."""
+        lost = {id(one) for one in self._lost}
+        self._lost.clear()
+        if not lost:
+            return
+        for flow in self._flows:
+            if flow.asked_ms is not None and id(flow.upstream) in lost:
+                yield flow, flow.upstream
+
     def sweep(self, now_ms: float) -> None:
         """Age out flows and requests that got lost; look at reports of others."""
         for token, load in self.loads:
--- a/src/cardamomtiller/forwarding/packet.py
+++ b/src/cardamomtiller/forwarding/packet.py
@@ -68,8 +68,8 @@
         """Return the datagram of a packet with another token."""
 
     @abstractmethod
-    def reset(self, packet: Packet) -> bytes:
-        """Return the datagram of a reset that answers ``packet``."""
+    def reset(self, flow: FlowKey, acknowledged: int) -> bytes:
+        """Return the datagram of a reset to a client that has received so much."""
 
 
 def pack_address(address: int, port: int) -> int:
--- a/src/cardamomtiller/forwarding/reporting.py
+++ b/src/cardamomtiller/forwarding/reporting.py
@@ -5,7 +5,7 @@
 from cardamomtiller.forwarding.configuration import Configuration, Route
 from cardamomtiller.forwarding.decisionlog import DecisionLog
 from cardamomtiller.forwarding.meters import Meters
-from cardamomtiller.forwarding.packet import Packet, flow_text
+from cardamomtiller.forwarding.packet import FlowKey, Packet, Token, flow_text
 from cardamomtiller.forwarding.placement import Choice
 from cardamomtiller.forwarding.reachability import Change
 from cardamomtiller.forwarding.upstreams import Upstream
@@ -165,7 +165,8 @@
 
     def reset(
         self,
-        packet: Packet,
+        flow: FlowKey,
+        token: Token,
         upstream: Upstream | None,
         reason: ResetReason,
         steady_for_ms: float,
@@ -176,9 +177,9 @@
         self._log.write(
             'flow_reset',
             now_ms,
-            flow=flow_text(packet.flow),
+            flow=flow_text(flow),
             upstream=upstream.entry.upstream if upstream else None,
-            token=packet.token,
+            token=token,
             reason=reason.value,
             state=upstream.state.value if upstream else None,
             entry_age_ms=round(now_ms - upstream.changed_ms) if upstream else None,
--- a/tests/features/forwarding.feature
+++ b/tests/features/forwarding.feature
@@ -49,6 +49,10 @@
     Then reordered packets of a window are no retransmissions
     And a packet that is sent again after a pause is one
 
+  Scenario: A user whose request a lost upstream had taken waits until the deadline
+    Then users that wait for an upstream are let go when it is lost
+    And users that were answered, gave up or must not ask twice are left alone
+
   Scenario: Flows leave the region although it has room
     Then flows stay in the region while it has free slots, and leave it when it has none
     And a failure domain that the settings do not name counts as near
--- a/tests/features/steps/forwarding_platform_steps.py
+++ b/tests/features/steps/forwarding_platform_steps.py
@@ -131,7 +131,7 @@
     packet = header.decode(EXAMPLE)
     assert packet.is_opening
     assert packet.sequence == 0x11223344
-    assert header.reset(packet) == EXAMPLE_RESET
+    assert header.reset(packet.flow, packet.acknowledged) == EXAMPLE_RESET
     assert header.with_token(EXAMPLE, 0x01020304)[16:20] == b'\1\2\3\4'
     assert header.decode(EXAMPLE[:-1]) is None
     assert header.decode(EXAMPLE + b'x') is None
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -52,6 +52,44 @@
     assert delivery.address == ('100.64.0.7', rig.CLIENT_PORT)
 
 
+def lose_with_request(is_repeatable=True, answered=False, lost_ms=700):
+    """Lose an upstream that has taken a request; return what is sent then."""
+    forwarder = rig.make_forwarder(('u-1',))
+    forwarder.take_configuration(
+        rig.configuration(version=2, is_repeatable=is_repeatable), 0
+    )
+    token = rig.open_flow(forwarder, 1000)
+    request = rig.packet(1000, seq=200, ack=500, size=40, token=token)
+    rig.handle(forwarder, request, 10)
+    if answered:
+        rig.handle(forwarder, rig.packet(1000, seq=240, ack=900, token=token), 60)
+    forwarder.sweep(650)
+    forwarder.observer.reachability.suspect(token, lost_ms)
+    list(forwarder.observer.reachability.due_probes(lost_ms))
+    change = forwarder.observer.reachability.take_probe(
+        token, ProbeResult.REFUSED, lost_ms
+    )
+    forwarder.observer.take_reachability(change, lost_ms)
+    sent = list(forwarder.release_waiting(lost_ms))
+    assert not list(forwarder.release_waiting(lost_ms))
+    return sent
+
+
+@then('users that wait for an upstream are let go when it is lost')
+def step_release(context):
+    (delivery,) = lose_with_request()
+    assert rig.is_reset(delivery)
+    assert delivery.address == ('100.64.0.7', rig.CLIENT_PORT)
+    assert rig.HEADER.unpack_from(delivery.datagram)[0] == 500
+
+
+@then('users that were answered, gave up or must not ask twice are left alone')
+def step_not_released(context):
+    assert not lose_with_request(is_repeatable=False)
+    assert not lose_with_request(answered=True)
+    assert not lose_with_request(lost_ms=1500)
+
+
 REGIONS = {'a': 'north', 'b': 'north', 'c': 'south'}
 
 
--- a/tests/forwarding_rig.py
+++ b/tests/forwarding_rig.py
@@ -112,7 +112,12 @@
     return UpstreamEntry(**{**values, **changes})
 
 
-def configuration(version=1, ports=(ROUTE_PORT,), service='orders'):
+def configuration(
+    version=1,
+    ports=(ROUTE_PORT,),
+    service='orders',
+    is_repeatable=False,
+):
     """Return a configuration with a route for each port."""
     routes = [
         Route(
@@ -121,6 +126,7 @@
             shares=(Share(ServiceName(service), 1),),
             timeout_ms=1000,
             target_latency_ms=100,
+            is_repeatable=is_repeatable,
         )
         for port in ports
     ]
