Place flows with the first part of a long list

Cause: after the loss of all instances, each reads the whole list before it forwards. Change: the source hands over each page as it comes; an instance serves as soon as it has the configuration and some upstreams. What is not listed yet is not forgotten, and the replica counts as complete, for peers and for resets, only with the whole list. Ruled out: reading from the leading members, whose links would carry the list to all others.

--- a/src/cardamomtiller/forwarding/following.py
+++ b/src/cardamomtiller/forwarding/following.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.member import Member
@@ -150,13 +150,22 @@
     def _read_source(self) -> Reading:
         self.source_calls += 1
         if self._revision == NO_REVISION:
-            batch = self._source.read_all()
+            *_, batch = self._put_parts(self._source.read_all())
         else:
             wait_ms = self._options.wait_ms
             batch = self._source.wait_for_changes(self._revision, wait_ms)
         self._revision = batch.revision
-        now_ms = self._read_steady_ms()
-        return Reading(batch, None, self._me.host, True, now_ms)
+        return self._reading_of(batch)
+
+    def _put_parts(self, batches: Iterable[Batch]) -> Iterator[Batch]:
+        """Hand over each part of a list at once; iterate over all batches."""
+        for batch in batches:
+            if batch.is_partial:
+                self._put(self._reading_of(batch))
+            yield batch
+
+    def _reading_of(self, batch: Batch) -> Reading:
+        return Reading(batch, None, self._me.host, True, self._read_steady_ms())
 
     def _read_peer(self, member: Member) -> Reading:
         self.peer_calls += 1
--- a/src/cardamomtiller/forwarding/node.py
+++ b/src/cardamomtiller/forwarding/node.py
@@ -268,7 +268,7 @@
             self._endpoints.hear(reading.host, now_ms)
         if not self._replica.apply(reading.batch, reading.confirmed_ms, now_ms):
             self._meters.count('readings_outdated')
-        if self._phase is Phase.STARTING and self._replica.is_complete:
+        if self._phase is Phase.STARTING and self._replica.is_usable:
             self._start_serving(now_ms)
 
     def _log_reading(self, reading: Reading, now_ms: float) -> None:
--- a/src/cardamomtiller/forwarding/records.py
+++ b/src/cardamomtiller/forwarding/records.py
@@ -1,6 +1,7 @@
 """Published records, where they are read from, and what they mean."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Iterator
 from typing import NamedTuple, NewType
 
 from cardamomtiller.forwarding.configuration import Configuration
@@ -39,11 +40,14 @@
         Revision that the changes follow, None if ``records`` is the complete list.
     revision
         Revision up to which the records are complete.
+    is_partial
+        Whether ``records`` is only a part of the complete list, which follows.
     """
 
     after: Revision | None
     revision: Revision
     records: tuple[Record, ...]
+    is_partial: bool = False
 
 
 class SourceError(Exception):
@@ -58,9 +62,9 @@
     """Where records are read; used by one thread."""
 
     @abstractmethod
-    def read_all(self) -> Batch:
+    def read_all(self) -> Iterator[Batch]:
         """
-        Return all records.
+        Iterate over parts of the complete list as they come, and then all of it.
 
         Raises
         ------
--- a/src/cardamomtiller/forwarding/replica.py
+++ b/src/cardamomtiller/forwarding/replica.py
@@ -63,9 +63,18 @@
     @property
     def is_complete(self) -> bool:
         """Whether a configuration is known and all entries were read once."""
-        return self.revision != NO_REVISION and bool(
-            self._forwarder.configuration.routes,
-        )
+        return self.revision != NO_REVISION and self._has_routes
+
+    @property
+    def is_usable(self) -> bool:
+        """
+        Whether new flows can be placed.
+
+        The load this answers: the loss of all instances with thousands of upstreams,
+        when the link of the source is busy for seconds with the lists of all. The
+        first part of the list has the configuration and enough upstreams to begin.
+        """
+        return self.is_complete or (self._has_routes and len(self._records) > 1)
 
     def age_ms(self, now_ms: float) -> float:
         """Return how long ago the source confirmed the replica."""
@@ -92,6 +101,10 @@
         """
         if batch.revision < self.revision:
             return False
+        if batch.is_partial:
+            for record in batch.records:
+                self._apply_record(record, now_ms)
+            return True
         if batch.after is None:
             self._apply_complete_list(batch, now_ms)
         elif batch.after > self.revision:
@@ -120,6 +133,10 @@
         in_order = sorted(newer, key=lambda record: record.revision)
         return Batch(after, self.revision, tuple(in_order))
 
+    @property
+    def _has_routes(self) -> bool:
+        return bool(self._forwarder.configuration.routes)
+
     def _confirm(self, confirmed_ms: float) -> None:
         before_ms = self.confirmed_ms
         if before_ms is None or confirmed_ms - before_ms > LONGEST_GAP_MS:
--- a/tests/features/forwarding_fleet.feature
+++ b/tests/features/forwarding_fleet.feature
@@ -21,6 +21,10 @@
     And a removed record stays removed when an older list arrives
     And changes with a gap before them are refused
 
+  Scenario: A new instance serves nobody until it has read a long list
+    Then an instance can place flows with the first part of a list, without forgetting others
+    And the first part of a list is handed over before the next one is read
+
   Scenario: A peer misses a removal
     Then a peer that is behind gets the removals it lacks
     And a peer that is far behind gets the complete list
--- a/tests/features/steps/forwarding_fleet_steps.py
+++ b/tests/features/steps/forwarding_fleet_steps.py
@@ -16,6 +16,7 @@
     decode_announcement,
     encode_announcement,
 )
+from cardamomtiller.forwarding.following import Follower, FollowOptions
 from cardamomtiller.forwarding.httpserver import IDLE_MS, HttpServer, Reply
 from cardamomtiller.forwarding.load import LoadBook
 from cardamomtiller.forwarding.loadsharing import (
@@ -38,6 +39,8 @@
     MalformedRecord,
     Record,
     RecordDecoder,
+    RecordSource,
+    SourceError,
 )
 from cardamomtiller.forwarding.replica import LONGEST_GAP_MS, REMOVALS_KEPT, Replica
 from cardamomtiller.forwarding.sources import SourceChoice, SourceOptions
@@ -254,6 +257,62 @@
     assert pool_of(forwarder) == {'u-1'}
 
 
+@then(
+    'an instance can place flows with the first part of a list, without forgetting others'
+)
+def step_partial(context):
+    forwarder, replica = make_replica()
+    assert not replica.is_usable
+    part = tuple(Record(f'u-{number}', 5, 'ready') for number in range(3))
+    assert replica.apply(Batch(None, 9, part, is_partial=True), 0, 0)
+    assert replica.is_usable and not replica.is_complete
+    assert replica.confirmed_ms is None and replica.revision == NO_REVISION
+    assert pool_of(forwarder) == {'u-0', 'u-1', 'u-2'}
+    other = (Record('u-7', 6, 'ready'),)
+    assert replica.apply(Batch(None, 9, other, is_partial=True), 0, 0)
+    assert pool_of(forwarder) == {'u-0', 'u-1', 'u-2', 'u-7'}
+    assert replica.apply(Batch(None, 9, part[1:] + other), 0, 0)
+    assert replica.is_complete
+    assert pool_of(forwarder) == {'u-1', 'u-2', 'u-7'}
+
+
+class PagedSource(RecordSource):
+    """A source of two parts that notes how far it was read."""
+
+    def __init__(self, follower_results):
+        """Look at the results of a follower between the parts."""
+        self.results_before_second = None
+        self.results = follower_results
+
+    def read_all(self):
+        """Iterate over the parts."""
+        record = Record('u-1', 1, 'ready')
+        yield Batch(None, 2, (record,), is_partial=True)
+        self.results_before_second = len(self.results())
+        yield Batch(None, 2, (record, Record('u-2', 2, 'ready')))
+
+    def wait_for_changes(self, after, wait_ms):
+        """Fail; the test reads the list only."""
+        raise SourceError('no changes here')
+
+    def close(self):
+        """Do nothing."""
+
+
+@then('the first part of a list is handed over before the next one is read')
+def step_parts_at_once(context):
+    source = PagedSource(lambda: follower._results)
+    options = FollowOptions(1, 1, 1, 1, 1, 1, 1)
+    choice = SourceChoice(member(0), SOURCES)
+    follower = Follower(
+        member(0), source, 1, choice, options, lambda: 0.0, lambda: None
+    )
+    follower._step()
+    assert source.results_before_second == 1
+    first, second = follower.take_all()
+    assert first.batch.is_partial and not second.batch.is_partial
+
+
 @then('a peer that is behind gets the removals it lacks')
 def step_peer_removals(context):
     _, reader = make_replica()
--- a/tests/features/steps/forwarding_platform_steps.py
+++ b/tests/features/steps/forwarding_platform_steps.py
@@ -212,8 +212,11 @@
 
 @then('all pages are read and changes follow')
 def step_pages(context):
-    batch = context.source.read_all()
-    assert batch.after is None
+    *parts, batch = context.source.read_all()
+    assert parts and all(part.is_partial for part in parts)
+    in_parts = {record.key for part in parts for record in part.records}
+    assert in_parts < {record.key for record in batch.records}
+    assert batch.after is None and not batch.is_partial
     assert len(batch.records) == 121
     context.store.put('servers/i-99', ENTRY)
     context.store.remove('servers/i-00000001')
@@ -225,7 +228,7 @@
 
 @then('lost history is reported as such')
 def step_history(context):
-    batch = context.source.read_all()
+    *_, batch = context.source.read_all()
     context.store.put('servers/i-98', ENTRY)
     context.store.forget_history()
     try:
@@ -240,10 +243,10 @@
     for fault in (Fault.BUSY, Fault.MANY, Fault.RESET, Fault.SILENT, Fault.NOISE):
         context.store.fault = fault
         try:
-            context.source.read_all()
+            list(context.source.read_all())
         except SourceError:
             context.store.fault = Fault.NONE
-            assert context.source.read_all().records
+            assert list(context.source.read_all())[-1].records
             continue
         raise AssertionError(f'{fault} was not reported')
 
@@ -251,7 +254,8 @@
 @then('an item that cannot be read does not hide the others')
 def step_noise_item(context):
     context.store.put('servers/i-77', b'\xff\xfe{')
-    records = context.source.read_all().records
+    *_, batch = context.source.read_all()
+    records = batch.records
     assert len(records) > 120
     decoder = entries.EntryDecoder()
     changes = [decoder.decode(record) for record in records]
