--- a/src/cardamomtiller/forwarding/following.py
+++ b/src/cardamomtiller/forwarding/following.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections import deque
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.member import Member
@@ -150,19 +150,20 @@
     def _read_source(self) -> Reading:
         self.source_calls += 1
         if self._revision == NO_REVISION:
-            *_, batch = self._put_parts(self._source.read_all())
+            batch = self._read_list()
         else:
             wait_ms = self._options.wait_ms
             batch = self._source.wait_for_changes(self._revision, wait_ms)
         self._revision = batch.revision
         return self._reading_of(batch)
 
-    def _put_parts(self, batches: Iterable[Batch]) -> Iterator[Batch]:
-        """Hand over each part of a list at once; iterate over all batches."""
-        for batch in batches:
-            if batch.is_partial:
-                self._put(self._reading_of(batch))
-            yield batch
+    def _read_list(self) -> Batch:
+        """Return the complete list; hand over its parts as they come."""
+        for batch in self._source.read_all():
+            if not batch.is_partial:
+                return batch
+            self._put(self._reading_of(batch))
+        raise SourceError('the list has no end')
 
     def _reading_of(self, batch: Batch) -> Reading:
         return Reading(batch, None, self._me.host, True, self._read_steady_ms())
