--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEEDS ?= 10
 STAMP := $(VENV)/.installed
 
-.PHONY: all setup test lint format schema binary demo demo-platform bench bench-policy bench-membership bench-limits bench-datapath bench-forwarding bench-replay measures fuzz soak test-mutants clean
+.PHONY: all setup test lint format schema binary demo demo-platform bench bench-policy bench-membership bench-limits bench-datapath bench-forwarding bench-replay measures fuzz soak soak-defects test-mutants clean
 
 all: lint test
 
@@ -52,6 +52,9 @@
 soak: setup
 	$(BIN)/python -m tools.packet_soak --seed $(SEED) --seeds $(SEEDS)
 
+soak-defects: setup
+	$(BIN)/python -m tools.packet_soak --seed $(SEED) --defects
+
 fuzz: setup
 	$(BIN)/python -m tools.fuzz --seed $(SEED) --minutes $(MINUTES)
 
--- /dev/null
+++ b/tools/broken_forwarding.py
@@ -0,0 +1,153 @@
+"""
+A forwarding instance with one deliberate defect: ``python -m tools.broken_forwarding``.
+
+The soak starts it in place of the real program, and must find the promise broken that
+the defect breaks. Without the name of a defect it lists them.
+"""
+
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'platform'))
+
+import main as program
+from entries import EntryDecoder
+
+from cardamomtiller.forwarding import endpoints, upstreams
+from cardamomtiller.forwarding.following import Follower
+from cardamomtiller.forwarding.forwarder import Forwarder
+from cardamomtiller.forwarding.node import Node
+from cardamomtiller.forwarding.observing import Observer
+from cardamomtiller.forwarding.records import NO_REVISION
+
+RESET_EVERY = 20
+FAILING_EVERY = 10
+STALL_AFTER_S = 10
+STALL_S = 2
+
+
+def place_on_draining() -> None:
+    """Place new flows on upstreams that drain."""
+    build = upstreams.UpstreamDirectory._build_pools
+
+    def build_with_draining(directory):  # type: ignore[no-untyped-def]
+        for one in directory:
+            if one.state is upstreams.UpstreamState.DRAINING:
+                one.state = upstreams.UpstreamState.READY
+        return build(directory)
+
+    upstreams.UpstreamDirectory._build_pools = build_with_draining  # type: ignore[method-assign]
+
+
+def reset_living() -> None:
+    """Reset some flows of upstreams that live."""
+    seen = 0
+
+    def is_unreachable(_observer, _upstream):  # type: ignore[no-untyped-def]
+        nonlocal seen
+        seen += 1
+        return seen % RESET_EVERY == 0
+
+    Observer.is_unreachable = is_unreachable  # type: ignore[method-assign]
+
+
+def misdirect() -> None:
+    """Send some later packets to another upstream than the token names."""
+    seen = 0
+    find = upstreams.UpstreamDirectory.by_token
+
+    def by_token(directory, token):  # type: ignore[no-untyped-def]
+        nonlocal seen
+        seen += 1
+        if seen % FAILING_EVERY:
+            return find(directory, token)
+        return next(iter(directory), None)
+
+    upstreams.UpstreamDirectory.by_token = by_token  # type: ignore[method-assign]
+
+
+def keep_first_configuration() -> None:
+    """Ignore every configuration after the first one."""
+    take = Forwarder.take_configuration
+
+    def take_first(forwarder, configuration, now_ms):  # type: ignore[no-untyped-def]
+        if not forwarder.configuration.routes:
+            take(forwarder, configuration, now_ms)
+
+    Forwarder.take_configuration = take_first  # type: ignore[method-assign]
+
+
+def read_once() -> None:
+    """Read the records at the start and never again."""
+
+    def run(follower):  # type: ignore[no-untyped-def]
+        while follower._revision == NO_REVISION:
+            follower._step()
+            time.sleep(0.1)
+
+    Follower._run = run  # type: ignore[method-assign]
+
+
+def end_on_hang_up() -> None:
+    """End the process when its settings have changed."""
+
+    def handle_signals(node):  # type: ignore[no-untyped-def]
+        signal.signal(signal.SIGTERM, node._ask_to_stop)
+
+    Node._handle_signals = handle_signals  # type: ignore[method-assign]
+
+
+def fail_on_malformed() -> None:
+    """Let a record that cannot be read raise an error."""
+    decode = EntryDecoder.decode
+
+    def decode_or_raise(decoder, record):  # type: ignore[no-untyped-def]
+        change = decode(decoder, record)
+        if type(change).__name__ == 'MalformedRecord':
+            raise RuntimeError(record.key)
+        return change
+
+    EntryDecoder.decode = decode_or_raise  # type: ignore[method-assign]
+
+
+def stall() -> None:
+    """Stop the loop for a second again and again, some time after the start."""
+    tick = endpoints.Endpoints.tick
+    started_s = time.monotonic()
+
+    def tick_slowly(parts, now_ms):  # type: ignore[no-untyped-def]
+        if time.monotonic() - started_s > STALL_AFTER_S:
+            time.sleep(STALL_S)
+        return tick(parts, now_ms)
+
+    endpoints.Endpoints.tick = tick_slowly  # type: ignore[method-assign]
+
+
+DEFECTS: dict[str, Callable[[], None]] = {
+    'place_on_draining': place_on_draining,
+    'reset_living': reset_living,
+    'misdirect': misdirect,
+    'keep_first_configuration': keep_first_configuration,
+    'read_once': read_once,
+    'end_on_hang_up': end_on_hang_up,
+    'fail_on_malformed': fail_on_malformed,
+    'stall': stall,
+}
+
+
+def main() -> int:
+    """Start an instance with the defect of the command line."""
+    names = sys.argv[1:]
+    if not names:
+        print('\n'.join(DEFECTS))
+        return 0
+    DEFECTS[names[0]]()
+    program.main()
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tools/packet_deployment.py
+++ b/tools/packet_deployment.py
@@ -397,6 +397,7 @@
         services: dict[str, int],
         subnet: int,
         links: Links | None = None,
+        program: tuple[str, ...] = (str(ROOT / 'platform' / 'main.py'),),
     ) -> None:
         """
         Start everything; ``wait_until_ready`` tells when it serves.
@@ -412,7 +413,10 @@
             other.
         links
             Proxies between the instances and the store.
+        program
+            Program of an instance and its arguments.
         """
+        self._program = program
         self.store = Store(('127.0.0.1', 0))
         names = list(domains)
         self.upstreams = [
@@ -483,7 +487,7 @@
         }
         with self.logs[host].open('ab') as log:
             self.processes[host] = subprocess.Popen(
-                [sys.executable, '-S', '-s', str(ROOT / 'platform' / 'main.py')],
+                [sys.executable, '-S', '-s', *self._program],
                 env=environment,
                 stdout=log,
                 stderr=log,
--- a/tools/packet_soak.py
+++ b/tools/packet_soak.py
@@ -10,6 +10,7 @@
 
 import argparse
 import asyncio
+import itertools
 import signal
 import sys
 import threading
@@ -17,6 +18,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from pathlib import Path
 from random import Random
 
 from tools.packet_deployment import Attempt, Deployment, Links
@@ -33,6 +35,21 @@
 TOUCH_S = 4.0
 SETTLE_S = 6.0
 LONG_FLOWS = 6
+TOOLS = Path(__file__).resolve().parent
+PROGRAM = TOOLS.parent / 'platform' / 'main.py'
+BROKEN_PROGRAM = TOOLS / 'broken_forwarding.py'
+DEFECTS = (
+    'place_on_draining',
+    'reset_living',
+    'misdirect',
+    'keep_first_configuration',
+    'read_once',
+    'end_on_hang_up',
+    'fail_on_malformed',
+    'stall',
+)
+# Not every series of faults touches every promise.
+SEEDS_OF_DEFECT = 3
 # A route that is added after the faults.
 EXTRA_PORT = 5000
 # Seeds that failed once, and why.
@@ -118,15 +135,16 @@
 class Soak:
     """One seeded run."""
 
-    def __init__(self, seed: int, seconds: float) -> None:
-        """Start a deployment."""
+    def __init__(self, seed: int, seconds: float, defect: str = '') -> None:
+        """Start a deployment, of instances with a defect if one is named."""
         self.findings = Findings(seed)
         self._random = Random(seed)
         self._seconds = seconds
         self._links = ProxyLinks(seed)
         # Each seed of a series has addresses of its own.
         subnet = FIRST_SUBNET + seed % SUBNETS
-        self._deployment = Deployment(DOMAINS, SERVICES, subnet, self._links)
+        program = (str(BROKEN_PROGRAM), defect) if defect else (str(PROGRAM),)
+        self._deployment = Deployment(DOMAINS, SERVICES, subnet, self._links, program)
         self._hosts = tuple(self._deployment.hosts)
         self._disturbed_s = dict.fromkeys(self._hosts, 0.0)
         self._drained_s: dict[str, float] = {}
@@ -362,6 +380,22 @@
             self.findings.broken.append(promise)
 
 
+def show_defects(seed: int, seconds: float) -> int:
+    """Run the soak against broken instances; return 1 if a defect is not found."""
+    survived = 0
+    # The next run of a seed would find its addresses still in use.
+    seeds = itertools.count(seed)
+    for name in DEFECTS:
+        for _ in range(SEEDS_OF_DEFECT):
+            broken = Soak(next(seeds), seconds, name).run().broken
+            if broken:
+                break
+        survived += not broken
+        print(f'{name}: {"caught: " + broken[0] if broken else "survived"}', flush=True)
+    print(f'{len(DEFECTS) - survived} passed, {survived} failed')
+    return 1 if survived else 0
+
+
 def main() -> int:
     """Run the seeds of the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -370,8 +404,13 @@
     parser.add_argument(
         '--seconds', type=float, default=15, help='length of the faults'
     )
+    parser.add_argument(
+        '--defects', action='store_true', help='show that each defect is found'
+    )
     parser.add_argument('--regressions', action='store_true', help='seeds that failed')
     options = parser.parse_args()
+    if options.defects:
+        return show_defects(options.seed, options.seconds)
     seeds = list(range(options.seed, options.seed + options.seeds))
     if options.regressions:
         seeds = list(REGRESSION_SEEDS)
