Keep the names of the deliberate defects and of the program in one place

Found when reading the change again: the list of defects stood in the soak and in the broken program, and the path of the real program in the soak and in the deployment. The soak now asks the broken program, which lists its defects already. No change of src/ or platform/.

--- a/tools/packet_deployment.py
+++ b/tools/packet_deployment.py
@@ -32,6 +32,8 @@
 from tools.standins.store import Store
 
 ROOT = Path(__file__).resolve().parent.parent
+# Program of an instance and its arguments.
+PROGRAM = (str(ROOT / 'platform' / 'main.py'),)
 sys.path.append(str(ROOT / 'platform'))
 
 from packets import ACKNOWLEDGING, CLOSING, HEADER, OPENING, RESET  # noqa: E402
@@ -397,7 +399,7 @@
         services: dict[str, int],
         subnet: int,
         links: Links | None = None,
-        program: tuple[str, ...] = (str(ROOT / 'platform' / 'main.py'),),
+        program: tuple[str, ...] = PROGRAM,
     ) -> None:
         """
         Start everything; ``wait_until_ready`` tells when it serves.
--- a/tools/packet_soak.py
+++ b/tools/packet_soak.py
@@ -12,6 +12,7 @@
 import asyncio
 import itertools
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -21,7 +22,7 @@
 from pathlib import Path
 from random import Random
 
-from tools.packet_deployment import Attempt, Deployment, Links
+from tools.packet_deployment import PROGRAM, Attempt, Deployment, Links
 from tools.standins.proxy import Rule, Rules, StreamProxy
 from tools.standins.store import Fault
 
@@ -35,19 +36,7 @@
 TOUCH_S = 4.0
 SETTLE_S = 6.0
 LONG_FLOWS = 6
-TOOLS = Path(__file__).resolve().parent
-PROGRAM = TOOLS.parent / 'platform' / 'main.py'
-BROKEN_PROGRAM = TOOLS / 'broken_forwarding.py'
-DEFECTS = (
-    'place_on_draining',
-    'reset_living',
-    'misdirect',
-    'keep_first_configuration',
-    'read_once',
-    'end_on_hang_up',
-    'fail_on_malformed',
-    'stall',
-)
+BROKEN_PROGRAM = Path(__file__).resolve().parent / 'broken_forwarding.py'
 # Not every series of faults touches every promise.
 SEEDS_OF_DEFECT = 3
 # A route that is added after the faults.
@@ -143,7 +132,7 @@
         self._links = ProxyLinks(seed)
         # Each seed of a series has addresses of its own.
         subnet = FIRST_SUBNET + seed % SUBNETS
-        program = (str(BROKEN_PROGRAM), defect) if defect else (str(PROGRAM),)
+        program = (str(BROKEN_PROGRAM), defect) if defect else PROGRAM
         self._deployment = Deployment(DOMAINS, SERVICES, subnet, self._links, program)
         self._hosts = tuple(self._deployment.hosts)
         self._disturbed_s = dict.fromkeys(self._hosts, 0.0)
@@ -382,17 +371,19 @@
 
 def show_defects(seed: int, seconds: float) -> int:
     """Run the soak against broken instances; return 1 if a defect is not found."""
+    listing = [sys.executable, str(BROKEN_PROGRAM)]
+    defects = subprocess.check_output(listing, text=True).split()
     survived = 0
     # The next run of a seed would find its addresses still in use.
     seeds = itertools.count(seed)
-    for name in DEFECTS:
+    for name in defects:
         for _ in range(SEEDS_OF_DEFECT):
             broken = Soak(next(seeds), seconds, name).run().broken
             if broken:
                 break
         survived += not broken
         print(f'{name}: {"caught: " + broken[0] if broken else "survived"}', flush=True)
-    print(f'{len(DEFECTS) - survived} passed, {survived} failed')
+    print(f'{len(defects) - survived} passed, {survived} failed')
     return 1 if survived else 0
 
 
