Arrange the modules of forwarding in packages by job

Cause: 33 modules lay flat in one package, and a subsystem for admission is about to join them. Two modules have new names, because their package has the old one: fleet is now fleet.membertable, placement is placement.selection. Ruled out: one package for all decisions (reporting is used by them and uses their types, so the packages would import each other).

--- a/src/cardamomtiller/forwarding/endpoints.py
+++ b/src/cardamomtiller/forwarding/endpoints.py
@@ -7,16 +7,16 @@
 import select
 from typing import NamedTuple
 
-from cardamomtiller.forwarding.decisionlog import DecisionLog
-from cardamomtiller.forwarding.exchange import ExchangeOptions, PeerExchange
-from cardamomtiller.forwarding.httpserver import Handler, HttpServer
-from cardamomtiller.forwarding.load import LoadTable
+from cardamomtiller.forwarding.fleet.exchange import ExchangeOptions, PeerExchange
 from cardamomtiller.forwarding.member import Member
-from cardamomtiller.forwarding.meters import Meters
-from cardamomtiller.forwarding.metricspage import MetricsPage
-from cardamomtiller.forwarding.peersource import CHANGES_PATH
-from cardamomtiller.forwarding.replica import Replica
-from cardamomtiller.forwarding.upstreams import SocketAddress
+from cardamomtiller.forwarding.observation.load import LoadTable
+from cardamomtiller.forwarding.published.upstreams import SocketAddress
+from cardamomtiller.forwarding.replication.peersource import CHANGES_PATH
+from cardamomtiller.forwarding.replication.replica import Replica
+from cardamomtiller.forwarding.sockets.httpserver import Handler, HttpServer
+from cardamomtiller.forwarding.telemetry.decisionlog import DecisionLog
+from cardamomtiller.forwarding.telemetry.meters import Meters
+from cardamomtiller.forwarding.telemetry.metricspage import MetricsPage
 
 
 class EndpointOptions(NamedTuple):
--- /dev/null
+++ b/src/cardamomtiller/forwarding/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Other instances: membership by announcements, and exchange of load reports."""
--- a/src/cardamomtiller/forwarding/exchange.py
+++ b/src/cardamomtiller/forwarding/fleet/exchange.py
@@ -3,17 +3,7 @@
 import socket
 from typing import NamedTuple
 
-from cardamomtiller.forwarding.decisionlog import DecisionLog
-from cardamomtiller.forwarding.fleet import (
-    AnnouncementError,
-    FleetOptions,
-    MemberTable,
-    decode_announcement,
-    encode_announcement,
-)
-from cardamomtiller.forwarding.httpserver import Reply, Request
-from cardamomtiller.forwarding.load import LoadTable
-from cardamomtiller.forwarding.loadsharing import (
+from cardamomtiller.forwarding.fleet.loadsharing import (
     LoadReport,
     LoadSharing,
     ReportError,
@@ -22,11 +12,21 @@
     encode_report,
     is_report,
 )
+from cardamomtiller.forwarding.fleet.membertable import (
+    AnnouncementError,
+    FleetOptions,
+    MemberTable,
+    decode_announcement,
+    encode_announcement,
+)
 from cardamomtiller.forwarding.member import Member
-from cardamomtiller.forwarding.meters import Meters
-from cardamomtiller.forwarding.peersource import PeerReply, encode_reply
-from cardamomtiller.forwarding.records import Revision
-from cardamomtiller.forwarding.replica import Replica
+from cardamomtiller.forwarding.observation.load import LoadTable
+from cardamomtiller.forwarding.published.records import Revision
+from cardamomtiller.forwarding.replication.peersource import PeerReply, encode_reply
+from cardamomtiller.forwarding.replication.replica import Replica
+from cardamomtiller.forwarding.sockets.httpserver import Reply, Request
+from cardamomtiller.forwarding.telemetry.decisionlog import DecisionLog
+from cardamomtiller.forwarding.telemetry.meters import Meters
 from cardamomtiller.ids import DomainName
 
 MAX_DATAGRAM_BYTES = 65_535
--- a/src/cardamomtiller/forwarding/loadsharing.py
+++ b/src/cardamomtiller/forwarding/fleet/loadsharing.py
@@ -16,8 +16,8 @@
 from enum import Enum
 from typing import NamedTuple
 
-from cardamomtiller.forwarding.load import LoadTable
 from cardamomtiller.forwarding.member import Member, rank
+from cardamomtiller.forwarding.observation.load import LoadTable
 from cardamomtiller.forwarding.packet import Token
 from cardamomtiller.ids import DomainName
 
--- a/src/cardamomtiller/forwarding/flows.py
+++ b/src/cardamomtiller/forwarding/observation/flows.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.packet import FlowKey, Packet
-from cardamomtiller.forwarding.upstreams import Upstream
+from cardamomtiller.forwarding.published.upstreams import Upstream
 
 SEQUENCE_MASK = 0xFFFFFFFF
 HALF_SEQUENCE = 1 << 31
--- a/src/cardamomtiller/forwarding/load.py
+++ b/src/cardamomtiller/forwarding/observation/load.py
@@ -8,7 +8,7 @@
 from math import exp
 from typing import NamedTuple
 
-from cardamomtiller.forwarding.flows import Flow
+from cardamomtiller.forwarding.observation.flows import Flow
 from cardamomtiller.forwarding.packet import FlowKey, Token
 
 # Time constant: an unanswered request counts 1/e of its weight after this time.
--- /dev/null
+++ b/src/cardamomtiller/forwarding/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Selection of the upstream for a new flow."""
--- a/src/cardamomtiller/forwarding/placement.py
+++ b/src/cardamomtiller/forwarding/placement/selection.py
@@ -9,10 +9,14 @@
 from itertools import cycle, islice
 from typing import NamedTuple
 
-from cardamomtiller.forwarding.load import LoadTable, SilenceOptions, UpstreamLoad
-from cardamomtiller.forwarding.locality import Distance, Locality
-from cardamomtiller.forwarding.reachability import PathState, Reachability
-from cardamomtiller.forwarding.upstreams import Upstream, UpstreamState
+from cardamomtiller.forwarding.observation.load import (
+    LoadTable,
+    SilenceOptions,
+    UpstreamLoad,
+)
+from cardamomtiller.forwarding.observation.reachability import PathState, Reachability
+from cardamomtiller.forwarding.placement.locality import Distance, Locality
+from cardamomtiller.forwarding.published.upstreams import Upstream, UpstreamState
 from cardamomtiller.ids import DomainName, UpstreamId
 
 MIX_MULTIPLIER = 0x9E3779B1
--- a/src/cardamomtiller/forwarding/process.py
+++ b/src/cardamomtiller/forwarding/process.py
@@ -9,27 +9,35 @@
 from types import FrameType
 from typing import TYPE_CHECKING, NamedTuple
 
-from cardamomtiller.forwarding.decisionlog import DecisionLog, LogOptions
-from cardamomtiller.forwarding.following import Follower, FollowerOptions, ReadResult
-from cardamomtiller.forwarding.forwarder import Delivery, Forwarder, handle_datagrams
-from cardamomtiller.forwarding.locality import Locality
 from cardamomtiller.forwarding.member import Member
-from cardamomtiller.forwarding.meters import Meters
-from cardamomtiller.forwarding.options import ForwardingOptions
+from cardamomtiller.forwarding.observation.reachability import ProbeResult
 from cardamomtiller.forwarding.packet import PacketFormat, Token
-from cardamomtiller.forwarding.prober import Prober
-from cardamomtiller.forwarding.rawsocket import datagram_socket
-from cardamomtiller.forwarding.reachability import ProbeResult
-from cardamomtiller.forwarding.records import RecordDecoder, RecordSource
-from cardamomtiller.forwarding.replica import Replica
+from cardamomtiller.forwarding.placement.locality import Locality
+from cardamomtiller.forwarding.published.records import RecordDecoder, RecordSource
+from cardamomtiller.forwarding.published.upstreams import SocketAddress
+from cardamomtiller.forwarding.replication.following import (
+    Follower,
+    FollowerOptions,
+    ReadResult,
+)
+from cardamomtiller.forwarding.replication.replica import Replica
+from cardamomtiller.forwarding.replication.sources import SourceOptions, SourceSelector
+from cardamomtiller.forwarding.routing.forwarder import (
+    Delivery,
+    Forwarder,
+    handle_datagrams,
+)
+from cardamomtiller.forwarding.routing.options import ForwardingOptions
 from cardamomtiller.forwarding.settingswatch import SettingsSource, SettingsWatch
-from cardamomtiller.forwarding.sources import SourceOptions, SourceSelector
-from cardamomtiller.forwarding.upstreams import SocketAddress
+from cardamomtiller.forwarding.sockets.prober import Prober
+from cardamomtiller.forwarding.sockets.rawsocket import datagram_socket
+from cardamomtiller.forwarding.telemetry.decisionlog import DecisionLog, LogOptions
+from cardamomtiller.forwarding.telemetry.meters import Meters
 from cardamomtiller.ids import MS_PER_S, DomainName, RegionName
 
 if TYPE_CHECKING:
     from cardamomtiller.forwarding.endpoints import EndpointOptions, Endpoints
-    from cardamomtiller.forwarding.httpserver import Reply, Request
+    from cardamomtiller.forwarding.sockets.httpserver import Reply, Request
 
 STANDARD_OUTPUT = 1
 MAX_DATAGRAM_BYTES = 65_535
@@ -354,7 +362,7 @@
         self._log.write_milestone('reloaded', now_ms, seeds=seeds)
 
     def _answer_health_check(self, _request: 'Request', _now_ms: float) -> 'Reply':
-        from cardamomtiller.forwarding.httpserver import Reply
+        from cardamomtiller.forwarding.sockets.httpserver import Reply
 
         if self._phase is Phase.SERVING:
             return Reply(200, 'text/plain', b'serving\n')
--- /dev/null
+++ b/src/cardamomtiller/forwarding/published/__init__.py
@@ -0,0 +1,1 @@
+"""Published state: configuration, upstreams and the records they come from."""
--- a/src/cardamomtiller/forwarding/records.py
+++ b/src/cardamomtiller/forwarding/published/records.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple, NewType
 
-from cardamomtiller.forwarding.configuration import Configuration
-from cardamomtiller.forwarding.upstreams import UpstreamEntry
+from cardamomtiller.forwarding.published.configuration import Configuration
+from cardamomtiller.forwarding.published.upstreams import UpstreamEntry
 from cardamomtiller.ids import UpstreamId
 
 RecordKey = NewType('RecordKey', str)
--- a/src/cardamomtiller/forwarding/following.py
+++ b/src/cardamomtiller/forwarding/replication/following.py
@@ -6,15 +6,15 @@
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.member import Member
-from cardamomtiller.forwarding.peersource import PeerConnection
-from cardamomtiller.forwarding.records import (
+from cardamomtiller.forwarding.published.records import (
     NO_REVISION,
     Batch,
     HistoryLostError,
     RecordSource,
     SourceError,
 )
-from cardamomtiller.forwarding.sources import SourceSelector
+from cardamomtiller.forwarding.replication.peersource import PeerConnection
+from cardamomtiller.forwarding.replication.sources import SourceSelector
 from cardamomtiller.ids import MS_PER_S
 
 
--- a/src/cardamomtiller/forwarding/peersource.py
+++ b/src/cardamomtiller/forwarding/replication/peersource.py
@@ -5,15 +5,15 @@
 
 import ujson
 
-from cardamomtiller.forwarding.httpclient import HttpConnection
-from cardamomtiller.forwarding.records import (
+from cardamomtiller.forwarding.published.records import (
     Batch,
     Record,
     RecordKey,
     Revision,
     SourceError,
 )
-from cardamomtiller.forwarding.upstreams import SocketAddress
+from cardamomtiller.forwarding.published.upstreams import SocketAddress
+from cardamomtiller.forwarding.sockets.httpclient import HttpConnection
 
 CHANGES_PATH = '/changes'
 HTTP_OK = 200
--- a/src/cardamomtiller/forwarding/replica.py
+++ b/src/cardamomtiller/forwarding/replication/replica.py
@@ -3,11 +3,8 @@
 from collections import deque
 from collections.abc import Iterator
 
-from cardamomtiller.forwarding.configuration import Configuration
-from cardamomtiller.forwarding.decisionlog import DecisionLog
-from cardamomtiller.forwarding.forwarder import Forwarder
-from cardamomtiller.forwarding.meters import Meters
-from cardamomtiller.forwarding.records import (
+from cardamomtiller.forwarding.published.configuration import Configuration
+from cardamomtiller.forwarding.published.records import (
     NO_REVISION,
     Batch,
     EntryRemoval,
@@ -17,7 +14,10 @@
     RecordKey,
     Revision,
 )
-from cardamomtiller.forwarding.upstreams import UpstreamEntry
+from cardamomtiller.forwarding.published.upstreams import UpstreamEntry
+from cardamomtiller.forwarding.routing.forwarder import Forwarder
+from cardamomtiller.forwarding.telemetry.decisionlog import DecisionLog
+from cardamomtiller.forwarding.telemetry.meters import Meters
 
 # Number of removals kept for peers. A peer whose revision is older than these receives
 # the complete list.
--- a/src/cardamomtiller/forwarding/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -3,36 +3,40 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from cardamomtiller.forwarding.configuration import (
-    NO_CONFIGURATION,
-    Configuration,
-    Route,
-)
-from cardamomtiller.forwarding.decisionlog import DecisionLog
-from cardamomtiller.forwarding.flows import Flow
-from cardamomtiller.forwarding.locality import Locality
-from cardamomtiller.forwarding.meters import Meters
-from cardamomtiller.forwarding.observing import Observer
-from cardamomtiller.forwarding.options import ForwardingOptions
+from cardamomtiller.forwarding.observation.flows import Flow
+from cardamomtiller.forwarding.observation.unknowntokens import UnknownTokens
 from cardamomtiller.forwarding.packet import (
     FlowKey,
     Packet,
     PacketFormat,
     format_address,
 )
-from cardamomtiller.forwarding.placement import (
+from cardamomtiller.forwarding.placement.locality import Locality
+from cardamomtiller.forwarding.placement.selection import (
     Choice,
     choose_upstream,
     sample_candidates,
 )
-from cardamomtiller.forwarding.reporting import DropReason, Reporter, ResetReason
-from cardamomtiller.forwarding.unknowntokens import UnknownTokens
-from cardamomtiller.forwarding.upstreams import (
+from cardamomtiller.forwarding.published.configuration import (
+    NO_CONFIGURATION,
+    Configuration,
+    Route,
+)
+from cardamomtiller.forwarding.published.upstreams import (
     SocketAddress,
     Upstream,
     UpstreamDirectory,
     UpstreamEntry,
 )
+from cardamomtiller.forwarding.routing.observing import Observer
+from cardamomtiller.forwarding.routing.options import ForwardingOptions
+from cardamomtiller.forwarding.telemetry.decisionlog import DecisionLog
+from cardamomtiller.forwarding.telemetry.meters import Meters
+from cardamomtiller.forwarding.telemetry.reporting import (
+    DropReason,
+    Reporter,
+    ResetReason,
+)
 from cardamomtiller.ids import UpstreamId
 
 HASH_MULTIPLIER = 0x85EBCA6B
--- a/src/cardamomtiller/forwarding/observing.py
+++ b/src/cardamomtiller/forwarding/routing/observing.py
@@ -2,13 +2,17 @@
 
 from collections.abc import Iterator
 
-from cardamomtiller.forwarding.flows import Flow, FlowTable, Observation
-from cardamomtiller.forwarding.load import LoadTable, UpstreamLoad
-from cardamomtiller.forwarding.options import ForwardingOptions
+from cardamomtiller.forwarding.observation.flows import Flow, FlowTable, Observation
+from cardamomtiller.forwarding.observation.load import LoadTable, UpstreamLoad
+from cardamomtiller.forwarding.observation.reachability import (
+    PathChange,
+    PathState,
+    Reachability,
+)
 from cardamomtiller.forwarding.packet import FlowKey, Packet
-from cardamomtiller.forwarding.reachability import PathChange, PathState, Reachability
-from cardamomtiller.forwarding.reporting import Reporter
-from cardamomtiller.forwarding.upstreams import Upstream, UpstreamDirectory
+from cardamomtiller.forwarding.published.upstreams import Upstream, UpstreamDirectory
+from cardamomtiller.forwarding.routing.options import ForwardingOptions
+from cardamomtiller.forwarding.telemetry.reporting import Reporter
 from cardamomtiller.ids import UpstreamId
 
 
--- a/src/cardamomtiller/forwarding/options.py
+++ b/src/cardamomtiller/forwarding/routing/options.py
@@ -2,14 +2,14 @@
 
 from typing import NamedTuple
 
-from cardamomtiller.forwarding.decisionlog import LogOptions
-from cardamomtiller.forwarding.flows import FlowOptions
-from cardamomtiller.forwarding.load import SilenceOptions
-from cardamomtiller.forwarding.placement import PlacementOptions
-from cardamomtiller.forwarding.reachability import (
+from cardamomtiller.forwarding.observation.flows import FlowOptions
+from cardamomtiller.forwarding.observation.load import SilenceOptions
+from cardamomtiller.forwarding.observation.reachability import (
     DEFAULT_REACHABILITY,
     ReachabilityOptions,
 )
+from cardamomtiller.forwarding.placement.selection import PlacementOptions
+from cardamomtiller.forwarding.telemetry.decisionlog import LogOptions
 
 
 class ForwardingOptions(NamedTuple):
--- /dev/null
+++ b/src/cardamomtiller/forwarding/sockets/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP over them, and probes of upstreams."""
--- a/src/cardamomtiller/forwarding/httpclient.py
+++ b/src/cardamomtiller/forwarding/sockets/httpclient.py
@@ -5,9 +5,9 @@
 
 import httptools
 
-from cardamomtiller.forwarding.rawsocket import stream_socket
-from cardamomtiller.forwarding.records import SourceError
-from cardamomtiller.forwarding.upstreams import SocketAddress
+from cardamomtiller.forwarding.published.records import SourceError
+from cardamomtiller.forwarding.published.upstreams import SocketAddress
+from cardamomtiller.forwarding.sockets.rawsocket import stream_socket
 from cardamomtiller.ids import MS_PER_S
 
 RECEIVE_BYTES = 65_536
--- a/src/cardamomtiller/forwarding/prober.py
+++ b/src/cardamomtiller/forwarding/sockets/prober.py
@@ -7,10 +7,13 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from cardamomtiller.forwarding.observation.reachability import ProbeResult
 from cardamomtiller.forwarding.packet import Token
-from cardamomtiller.forwarding.rawsocket import connecting_socket, connection_error
-from cardamomtiller.forwarding.reachability import ProbeResult
-from cardamomtiller.forwarding.upstreams import SocketAddress
+from cardamomtiller.forwarding.published.upstreams import SocketAddress
+from cardamomtiller.forwarding.sockets.rawsocket import (
+    connecting_socket,
+    connection_error,
+)
 
 
 class Probe(NamedTuple):
--- /dev/null
+++ b/src/cardamomtiller/forwarding/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Log lines and metrics."""
--- a/src/cardamomtiller/forwarding/exposition.py
+++ b/src/cardamomtiller/forwarding/telemetry/exposition.py
@@ -11,7 +11,7 @@
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 from prometheus_client.registry import Collector, CollectorRegistry
 
-from cardamomtiller.forwarding.meters import BUCKET_BOUNDS_MS, Meters
+from cardamomtiller.forwarding.telemetry.meters import BUCKET_BOUNDS_MS, Meters
 
 PREFIX = 'cardamomtiller'
 
--- a/src/cardamomtiller/forwarding/metricspage.py
+++ b/src/cardamomtiller/forwarding/telemetry/metricspage.py
@@ -3,8 +3,8 @@
 import threading
 from collections.abc import Callable
 
-from cardamomtiller.forwarding.httpserver import Reply, Request
-from cardamomtiller.forwarding.meters import Meters
+from cardamomtiller.forwarding.sockets.httpserver import Reply, Request
+from cardamomtiller.forwarding.telemetry.meters import Meters
 
 LOADING = Reply(503, 'text/plain', b'metrics are being loaded\n')
 RenderMetrics = Callable[[Meters], tuple[str, bytes]]
@@ -35,6 +35,6 @@
         return Reply(200, content_type, body)
 
     def _load(self) -> None:
-        from cardamomtiller.forwarding.exposition import render
+        from cardamomtiller.forwarding.telemetry.exposition import render
 
         self._render = render
--- a/src/cardamomtiller/forwarding/reporting.py
+++ b/src/cardamomtiller/forwarding/telemetry/reporting.py
@@ -2,13 +2,13 @@
 
 from enum import Enum
 
-from cardamomtiller.forwarding.configuration import Configuration, Route
-from cardamomtiller.forwarding.decisionlog import DecisionLog
-from cardamomtiller.forwarding.meters import Meters
+from cardamomtiller.forwarding.observation.reachability import PathChange
 from cardamomtiller.forwarding.packet import FlowKey, Packet, Token, format_flow
-from cardamomtiller.forwarding.placement import Choice
-from cardamomtiller.forwarding.reachability import PathChange
-from cardamomtiller.forwarding.upstreams import Upstream
+from cardamomtiller.forwarding.placement.selection import Choice
+from cardamomtiller.forwarding.published.configuration import Configuration, Route
+from cardamomtiller.forwarding.published.upstreams import Upstream
+from cardamomtiller.forwarding.telemetry.decisionlog import DecisionLog
+from cardamomtiller.forwarding.telemetry.meters import Meters
 from cardamomtiller.ids import Version
 
 
--- a/tests/features/steps/forwarding_fleet_steps.py
+++ b/tests/features/steps/forwarding_fleet_steps.py
@@ -7,19 +7,7 @@
 
 from behave import then
 
-from cardamomtiller.forwarding.fleet import (
-    DEFAULT_FLEET,
-    SEED_ANNOUNCEMENT_INTERVAL,
-    Announcement,
-    AnnouncementError,
-    MemberTable,
-    decode_announcement,
-    encode_announcement,
-)
-from cardamomtiller.forwarding.following import Follower, FollowerOptions
-from cardamomtiller.forwarding.httpserver import IDLE_TIMEOUT_MS, HttpServer, Reply
-from cardamomtiller.forwarding.load import LoadTable
-from cardamomtiller.forwarding.loadsharing import (
+from cardamomtiller.forwarding.fleet.loadsharing import (
     DEFAULT_SHARING,
     SCALE,
     LoadReport,
@@ -30,9 +18,19 @@
     decode_report,
     encode_report,
 )
+from cardamomtiller.forwarding.fleet.membertable import (
+    DEFAULT_FLEET,
+    SEED_ANNOUNCEMENT_INTERVAL,
+    Announcement,
+    AnnouncementError,
+    MemberTable,
+    decode_announcement,
+    encode_announcement,
+)
 from cardamomtiller.forwarding.member import Member, rank
+from cardamomtiller.forwarding.observation.load import LoadTable
 from cardamomtiller.forwarding.packet import Token
-from cardamomtiller.forwarding.records import (
+from cardamomtiller.forwarding.published.records import (
     NO_REVISION,
     Batch,
     EntryRemoval,
@@ -42,12 +40,18 @@
     RecordSource,
     SourceError,
 )
-from cardamomtiller.forwarding.replica import (
+from cardamomtiller.forwarding.replication.following import Follower, FollowerOptions
+from cardamomtiller.forwarding.replication.replica import (
     MAX_CONFIRMATION_GAP_MS,
     MAX_REMOVALS,
     Replica,
 )
-from cardamomtiller.forwarding.sources import SourceOptions, SourceSelector
+from cardamomtiller.forwarding.replication.sources import SourceOptions, SourceSelector
+from cardamomtiller.forwarding.sockets.httpserver import (
+    IDLE_TIMEOUT_MS,
+    HttpServer,
+    Reply,
+)
 from cardamomtiller.ids import UpstreamId
 from tests import forwarding_rig as rig
 
--- a/tests/features/steps/forwarding_live_steps.py
+++ b/tests/features/steps/forwarding_live_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then
 
-from cardamomtiller.forwarding.upstreams import token_of
+from cardamomtiller.forwarding.published.upstreams import token_of
 from tests import forwarding_rig as rig
 from tools.packet_deployment import Deployment
 from tools.packet_soak import Soak
--- a/tests/features/steps/forwarding_load_steps.py
+++ b/tests/features/steps/forwarding_load_steps.py
@@ -2,8 +2,8 @@
 
 from behave import then
 
-from cardamomtiller.forwarding.forwarder import Forwarder
-from cardamomtiller.forwarding.options import DEFAULT_FORWARDING
+from cardamomtiller.forwarding.routing.forwarder import Forwarder
+from cardamomtiller.forwarding.routing.options import DEFAULT_FORWARDING
 from tools.forwarding_replay import PATTERNS, Replay, RoundRobin, TwoChoices
 
 LENGTH_MS = 12_000
--- a/tests/features/steps/forwarding_platform_steps.py
+++ b/tests/features/steps/forwarding_platform_steps.py
@@ -11,20 +11,20 @@
 import store as platform_store
 from behave import given, then
 
-from cardamomtiller.forwarding.configuration import Configuration
-from cardamomtiller.forwarding.records import (
+from cardamomtiller.forwarding.published.configuration import Configuration
+from cardamomtiller.forwarding.published.records import (
     EntryRemoval,
     HistoryLostError,
     MalformedRecord,
     Record,
     SourceError,
 )
+from cardamomtiller.forwarding.published.upstreams import UpstreamEntry
 from cardamomtiller.forwarding.settingswatch import (
     CHECK_INTERVAL_MS,
     SettingsSource,
     SettingsWatch,
 )
-from cardamomtiller.forwarding.upstreams import UpstreamEntry
 from tests import forwarding_rig as rig
 from tools.standins.store import Fault, Store
 
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -5,15 +5,15 @@
 
 from behave import then
 
-from cardamomtiller.forwarding.flows import Flow, FlowOptions, Observation
-from cardamomtiller.forwarding.options import DEFAULT_FORWARDING
-from cardamomtiller.forwarding.placement import sample_candidates
-from cardamomtiller.forwarding.reachability import PathState, ProbeResult
-from cardamomtiller.forwarding.upstreams import (
+from cardamomtiller.forwarding.observation.flows import Flow, FlowOptions, Observation
+from cardamomtiller.forwarding.observation.reachability import PathState, ProbeResult
+from cardamomtiller.forwarding.placement.selection import sample_candidates
+from cardamomtiller.forwarding.published.upstreams import (
     UpstreamDirectory,
     UpstreamState,
     token_of,
 )
+from cardamomtiller.forwarding.routing.options import DEFAULT_FORWARDING
 from cardamomtiller.ids import UpstreamId
 from tests import forwarding_rig as rig
 
--- a/tests/forwarding_rig.py
+++ b/tests/forwarding_rig.py
@@ -9,23 +9,23 @@
 
 from packets import CLOSING, HEADER, OPENING, RESET, HeaderFormat  # noqa: E402
 
-from cardamomtiller.forwarding.configuration import (  # noqa: E402
-    Configuration,
-    Route,
-    Share,
-)
-from cardamomtiller.forwarding.decisionlog import DecisionLog, LogOptions  # noqa: E402
-from cardamomtiller.forwarding.forwarder import Forwarder  # noqa: E402
-from cardamomtiller.forwarding.locality import Locality  # noqa: E402
-from cardamomtiller.forwarding.meters import Meters  # noqa: E402
-from cardamomtiller.forwarding.options import DEFAULT_FORWARDING  # noqa: E402
 from cardamomtiller.forwarding.packet import (  # noqa: E402
     RouteAddress,
     Token,
     pack_address,
     parse_ipv4,
 )
-from cardamomtiller.forwarding.upstreams import UpstreamEntry  # noqa: E402
+from cardamomtiller.forwarding.placement.locality import Locality  # noqa: E402
+from cardamomtiller.forwarding.published.configuration import (  # noqa: E402
+    Configuration,
+    Route,
+    Share,
+)
+from cardamomtiller.forwarding.published.upstreams import UpstreamEntry  # noqa: E402
+from cardamomtiller.forwarding.routing.forwarder import Forwarder  # noqa: E402
+from cardamomtiller.forwarding.routing.options import DEFAULT_FORWARDING  # noqa: E402
+from cardamomtiller.forwarding.telemetry.decisionlog import DecisionLog, LogOptions  # noqa: E402
+from cardamomtiller.forwarding.telemetry.meters import Meters  # noqa: E402
 from cardamomtiller.ids import (  # noqa: E402
     DomainName,
     ServiceName,
--- a/tools/bench_forwarding.py
+++ b/tools/bench_forwarding.py
@@ -14,7 +14,7 @@
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
 
-from cardamomtiller.forwarding.upstreams import token_of
+from cardamomtiller.forwarding.published.upstreams import token_of
 from cardamomtiller.ids import UpstreamId
 from tests import forwarding_rig as rig
 
--- a/tools/broken_forwarding.py
+++ b/tools/broken_forwarding.py
@@ -16,12 +16,13 @@
 import main as program
 from entries import EntryDecoder
 
-from cardamomtiller.forwarding import endpoints, upstreams
-from cardamomtiller.forwarding.following import Follower
-from cardamomtiller.forwarding.forwarder import Forwarder
-from cardamomtiller.forwarding.observing import Observer
+from cardamomtiller.forwarding import endpoints
 from cardamomtiller.forwarding.process import ForwardingProcess
-from cardamomtiller.forwarding.records import NO_REVISION
+from cardamomtiller.forwarding.published import upstreams
+from cardamomtiller.forwarding.published.records import NO_REVISION
+from cardamomtiller.forwarding.replication.following import Follower
+from cardamomtiller.forwarding.routing.forwarder import Forwarder
+from cardamomtiller.forwarding.routing.observing import Observer
 
 RESET_EVERY = 20
 MISDIRECT_EVERY = 10
--- a/tools/forwarding_replay.py
+++ b/tools/forwarding_replay.py
@@ -21,13 +21,13 @@
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
 
-from cardamomtiller.forwarding.forwarder import Forwarder, hash_flow
-from cardamomtiller.forwarding.loadsharing import (
+from cardamomtiller.forwarding.fleet.loadsharing import (
     DEFAULT_SHARING,
     LoadSharing,
 )
 from cardamomtiller.forwarding.member import Member
-from cardamomtiller.forwarding.placement import Choice
+from cardamomtiller.forwarding.placement.selection import Choice
+from cardamomtiller.forwarding.routing.forwarder import Forwarder, hash_flow
 from cardamomtiller.ids import DomainName, InstanceId
 from tests import forwarding_rig as rig
 
--- a/tools/packet_deployment.py
+++ b/tools/packet_deployment.py
@@ -28,7 +28,7 @@
 
 import ujson
 
-from cardamomtiller.forwarding.upstreams import token_of
+from cardamomtiller.forwarding.published.upstreams import token_of
 from cardamomtiller.ids import UpstreamId
 from tools.standins.store import Store
 
