Hold opening packets at the instance while the upstreams are full

Cause: after an outage every instance forwards each opening packet at once. Change: package forwarding.admission. limit: an instance may use an equal part of the capacity of a pool and an equal part of what the reports show as unused; without reports the others are assumed to use their parts. Until the fleet is known a window that grows while answers are fast. waitqueue: what exceeds the limit waits; requests that can be in time leave first, newest first, late ones get a turn. A packet whose next copy does not arrive is dropped, since another instance holds it then; after 1000 ms it is forwarded in any case.

--- /dev/null
+++ b/src/cardamomtiller/forwarding/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of opening packets: concurrency limit, wait queue and their order."""
--- /dev/null
+++ b/src/cardamomtiller/forwarding/admission/control.py
@@ -0,0 +1,222 @@
+"""Decides whether an opening packet is forwarded at once, waits, or is rejected."""
+
+from collections.abc import Iterator
+from enum import Enum
+from typing import NamedTuple
+
+from cardamomtiller.forwarding.admission.limit import (
+    LimitOptions,
+    PoolUse,
+    StartWindow,
+    instance_limit,
+    measure_pool,
+)
+from cardamomtiller.forwarding.admission.waitqueue import (
+    WaitingOpening,
+    WaitOptions,
+    WaitQueue,
+)
+from cardamomtiller.forwarding.observation.load import LoadTable
+from cardamomtiller.forwarding.observation.reachability import Reachability
+from cardamomtiller.forwarding.packet import Packet
+from cardamomtiller.forwarding.placement.selection import min_latency_ms
+from cardamomtiller.forwarding.published.configuration import Route
+from cardamomtiller.forwarding.published.upstreams import UpstreamDirectory
+from cardamomtiller.ids import ServiceName
+
+
+class Verdict(Enum):
+    """What happens to an opening packet."""
+
+    FORWARD = 'forward'
+    WAIT = 'wait'
+    REJECT = 'reject'
+
+
+class ReleaseReason(Enum):
+    """Why a waiting opening packet is forwarded."""
+
+    CAPACITY = 'capacity'
+    AGE = 'age'
+
+
+class AdmissionOptions(NamedTuple):
+    """Options of the concurrency limit and of the wait queues."""
+
+    limit: LimitOptions
+    wait: WaitOptions
+
+
+class Decision(NamedTuple):
+    """
+    Verdict on an opening packet, with the values that it is based on.
+
+    Attributes
+    ----------
+    limit
+        Requests that this instance may have in progress; None if it was not computed,
+        because the packet is far below it.
+    waiting
+        Packets that wait for the service, including this one.
+    """
+
+    verdict: Verdict
+    in_progress: int
+    limit: float | None
+    waiting: int
+
+
+class Release(NamedTuple):
+    """A packet that has waited, and the values that its release is based on."""
+
+    opening: WaitingOpening
+    service: ServiceName
+    reason: ReleaseReason
+    in_progress: int
+    limit: float
+    waiting: int
+
+
+class Admission:
+    """Wait queues of all services under the concurrency limit of the instance."""
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        loads: LoadTable,
+        reachability: Reachability,
+        options: AdmissionOptions,
+    ) -> None:
+        """Initialise without waiting packets, and with an unknown fleet."""
+        self._directory = directory
+        self._loads = loads
+        self._reachability = reachability
+        self._options = options
+        self._queues: dict[ServiceName, WaitQueue] = {}
+        self.start_window = StartWindow(options.limit)
+        # Number of packets that were dropped because their clients no longer wait.
+        self.abandoned = 0
+        # Number of instances, None until the announcements of the others have arrived.
+        self.instances: int | None = None
+
+    @property
+    def waiting(self) -> int:
+        """Number of all waiting packets."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def decide(
+        self,
+        packet: Packet,
+        datagram: bytes,
+        route: Route,
+        service: ServiceName,
+        now_ms: float,
+    ) -> Decision:
+        """
+        Decide about an opening packet; keep it if it has to wait.
+
+        Another copy of a waiting packet replaces the earlier one and waits too.
+        """
+        queue = self._queues.get(service)
+        if not queue and self._is_far_below_limit(service):
+            return Decision(Verdict.FORWARD, self._loads.total_in_progress, None, 0)
+        use, limit = self._measure(service, now_ms)
+        if not queue and use.in_progress < limit:
+            return Decision(Verdict.FORWARD, use.in_progress, limit, 0)
+        if queue is None:
+            queue = self._queues[service] = WaitQueue(self._options.wait)
+        if packet.flow not in queue and self._is_hopeless(
+            queue, route, limit, self._expected_latency_ms(service, now_ms)
+        ):
+            return Decision(Verdict.REJECT, use.in_progress, limit, len(queue))
+        queue.put(packet, datagram, route, now_ms)
+        return Decision(Verdict.WAIT, use.in_progress, limit, len(queue))
+
+    def release(self, now_ms: float) -> Iterator[Release]:
+        """
+        Remove and iterate over the packets that may leave their queue now.
+
+        The caller forwards each packet before it requests the next one, because a
+        forwarded packet counts as a request in progress.
+        """
+        for service, queue in self._queues.items():
+            if queue:
+                yield from self._release_from(service, queue, now_ms)
+
+    def release_all(self) -> Iterator[WaitingOpening]:
+        """Remove and iterate over all waiting packets, for a process that stops."""
+        for queue in self._queues.values():
+            yield from queue.pop_all()
+
+    def _release_from(
+        self, service: ServiceName, queue: WaitQueue, now_ms: float
+    ) -> Iterator[Release]:
+        self.abandoned += sum(1 for _ in queue.pop_abandoned(now_ms))
+        for overdue in queue.pop_overdue(now_ms):
+            use, limit = self._measure(service, now_ms)
+            yield Release(
+                overdue,
+                service,
+                ReleaseReason.AGE,
+                use.in_progress,
+                limit,
+                len(queue),
+            )
+        latency_ms = self._expected_latency_ms(service, now_ms)
+        while queue:
+            use, limit = self._measure(service, now_ms)
+            if use.in_progress >= limit:
+                return
+            opening = queue.pop_next(latency_ms, now_ms)
+            if opening is None:
+                return
+            yield Release(
+                opening,
+                service,
+                ReleaseReason.CAPACITY,
+                use.in_progress,
+                limit,
+                len(queue),
+            )
+
+    def _is_far_below_limit(self, service: ServiceName) -> bool:
+        """
+        Return whether all requests of this instance are fewer than its equal part.
+
+        Spares most opening packets the sum over a large pool.
+        """
+        slots = self._directory.slots(service)
+        capacity = slots * self._options.limit.requests_per_slot
+        if self.instances is None:
+            share = min(capacity, self.start_window.size)
+        else:
+            share = capacity / self.instances
+        # Half of it, because some upstreams of the pool may be unreachable.
+        return self._loads.total_in_progress < share / 2
+
+    def _measure(self, service: ServiceName, now_ms: float) -> tuple[PoolUse, float]:
+        use = measure_pool(
+            self._directory.pool(service),
+            self._loads,
+            self._reachability,
+            self._options.limit,
+            now_ms,
+        )
+        if self.instances is None:
+            return use, max(1, min(use.capacity, self.start_window.size))
+        return use, instance_limit(use, self.instances)
+
+    def _expected_latency_ms(self, service: ServiceName, now_ms: float) -> float:
+        loads = (
+            self._loads.get_or_create(upstream.token)
+            for upstream in self._directory.pool(service)
+        )
+        return min_latency_ms(loads, now_ms) or 0
+
+    def _is_hopeless(
+        self, queue: WaitQueue, route: Route, limit: float, latency_ms: float
+    ) -> bool:
+        """Return whether the packets ahead take longer than the client waits at most."""
+        if len(queue) >= self._options.wait.max_waiting:
+            return True
+        return len(queue) * latency_ms / limit > route.timeout_ms
--- a/src/cardamomtiller/forwarding/endpoints.py
+++ b/src/cardamomtiller/forwarding/endpoints.py
@@ -106,6 +106,10 @@
         self.answer_pending(now_ms)
         return self._exchange.member_table.peers()
 
+    def fleet_size(self, now_ms: float) -> int | None:
+        """Return the number of instances, None while they are still unknown."""
+        return self._exchange.fleet_size(now_ms)
+
     def record_peer_contact(self, host: str, now_ms: float) -> None:
         """Record that another instance has answered, so it stays in the table."""
         self._exchange.member_table.record_contact(host, now_ms)
--- a/src/cardamomtiller/forwarding/fleet/exchange.py
+++ b/src/cardamomtiller/forwarding/fleet/exchange.py
@@ -123,6 +123,12 @@
         for peer in self.member_table.peers():
             self._send_announcement(peer.host, peer.domain, now_ms, is_leaving=True)
 
+    def fleet_size(self, now_ms: float) -> int | None:
+        """Return the number of instances, None while they are still unknown."""
+        if now_ms - self._started_ms < self._options.fleet.discovery_ms:
+            return None
+        return self.member_table.fleet_size()
+
     def answer_changes(self, request: Request, now_ms: float) -> Reply | None:
         """
         Answer a peer that reads the replica.
--- a/src/cardamomtiller/forwarding/fleet/loadsharing.py
+++ b/src/cardamomtiller/forwarding/fleet/loadsharing.py
@@ -172,6 +172,7 @@
         for _, load in self._loads:
             load.update_mean_busy(now_ms, self._options.horizon_ms)
         rows_by_token = {row.token: row for row in self._rows_of_others(now_ms)}
+        self._loads.others_reported_ms = self._last_report_ms()
         for token, load in self._loads:
             row = rows_by_token.get(token)
             load.others_busy = row.busy if row else 0
@@ -241,6 +242,13 @@
         self._unanswered_since_ms.pop(sender.host, None)
         return None
 
+    def _last_report_ms(self) -> float | None:
+        """Return the arrival of the newest report, None if there was none."""
+        received = [*self._reports_by_host.values(), *self._reports_by_domain.values()]
+        if self._aggregator_answer is not None:
+            received = [self._aggregator_answer]
+        return max((report.received_ms for report in received), default=None)
+
     def _max_rows(self, members: int) -> int:
         """Return the largest number of rows of a report, by the number of members."""
         return max(MIN_REPORT_ROWS, self._options.rows_per_domain // max(1, members))
--- a/src/cardamomtiller/forwarding/fleet/membertable.py
+++ b/src/cardamomtiller/forwarding/fleet/membertable.py
@@ -38,6 +38,8 @@
         Time between announcements.
     startup_interval_ms, startup_ms
         Time between announcements during start-up, and length of that phase.
+    discovery_ms
+        Time after the start until the announcements of most members have arrived.
     fanout
         Receivers of each announcement besides a reader candidate and a seed.
     relayed_members
@@ -49,6 +51,7 @@
     interval_ms: float
     startup_interval_ms: float
     startup_ms: float
+    discovery_ms: float
     fanout: int
     relayed_members: int
     member_timeout_ms: float
@@ -158,6 +161,17 @@
             member for member in members if member.domain == self.local_member.domain
         )
 
+    def fleet_size(self) -> int:
+        """
+        Return the estimated number of instances, including this one.
+
+        An instance knows most members of its own failure domain, but of the others
+        only some. They are assumed to have as many each.
+        """
+        domains = {member.domain for member in self._members.values()}
+        domains.add(self.local_member.domain)
+        return max(len(self._members) + 1, len(domains) * (len(self.peers()) + 1))
+
     def handle_announcement(self, announcement: Announcement, now_ms: float) -> bool:
         """Update the table from an announcement; return whether the sender is new."""
         sender = announcement.sender
@@ -317,6 +331,7 @@
     interval_ms=1000,
     startup_interval_ms=200,
     startup_ms=3000,
+    discovery_ms=1000,
     fanout=1,
     relayed_members=4,
     member_timeout_ms=8000,
--- a/src/cardamomtiller/forwarding/observation/flows.py
+++ b/src/cardamomtiller/forwarding/observation/flows.py
@@ -42,11 +42,15 @@
         Time without a packet after which a flow is removed.
     max_request_ms
         Time after which a request without an answer no longer counts as load.
+    max_handshake_ms
+        Time after which a flow that its client has not opened no longer counts as load.
+        The client has given up then, or its packets reach another instance.
     """
 
     capacity: int
     idle_ms: float
     max_request_ms: float
+    max_handshake_ms: float
 
 
 class Flow:
@@ -62,6 +66,7 @@
         'requests',
         'retransmissions',
         'sent_sequence',
+        'target_latency_ms',
         'unanswered_since_ms',
         'upstream',
     )
@@ -80,6 +85,7 @@
         # Time of the first payload without an answer, kept after the request stopped
         # counting as load.
         self.unanswered_since_ms: float | None = None
+        self.target_latency_ms: float | None = None
         self.requests = 0
         self.retransmissions = 0
 
--- a/src/cardamomtiller/forwarding/observation/load.py
+++ b/src/cardamomtiller/forwarding/observation/load.py
@@ -8,8 +8,9 @@
 from math import exp
 from typing import NamedTuple
 
-from cardamomtiller.forwarding.observation.flows import Flow
+from cardamomtiller.forwarding.observation.flows import Flow, FlowOptions
 from cardamomtiller.forwarding.packet import FlowKey, Token
+from cardamomtiller.ids import ServiceName
 
 # Time constant: an unanswered request counts 1/e of its weight after this time.
 UNANSWERED_DECAY_MS = 3000.0
@@ -187,11 +188,27 @@
         self._loads: dict[Token, UpstreamLoad] = {}
         # Flows with a request in progress, ordered by the start of the request.
         self._flows_in_progress: dict[FlowKey, Flow] = {}
+        # Time of the last update with a report of another instance.
+        self.others_reported_ms: float | None = None
 
     def __iter__(self) -> Iterator[tuple[Token, UpstreamLoad]]:
         """Iterate over a snapshot of all tokens and estimates."""
         return iter(tuple(self._loads.items()))
 
+    @property
+    def total_in_progress(self) -> int:
+        """Number of requests of this instance in progress at all upstreams."""
+        return len(self._flows_in_progress)
+
+    def count_started_after(self, service: ServiceName, since_ms: float) -> int:
+        """Return the requests of a service in progress that started after a time."""
+        count = 0
+        for flow in reversed(self._flows_in_progress.values()):
+            if flow.request_started_ms is None or flow.request_started_ms < since_ms:
+                break
+            count += flow.upstream.entry.service == service
+        return count
+
     def get_or_create(self, token: Token) -> UpstreamLoad:
         """Return the estimate of an upstream; create it if there is none."""
         load = self._loads.get(token)
@@ -233,20 +250,24 @@
         self._flows_in_progress.pop(flow.key, None)
         self.get_or_create(flow.upstream.token).change_in_progress(-1, now_ms)
 
-    def finish_overdue_requests(self, max_request_ms: float, now_ms: float) -> None:
+    def finish_overdue_requests(self, options: FlowOptions, now_ms: float) -> None:
         """
-        Stop counting requests that have run for longer than ``max_request_ms``.
+        Stop counting requests that have run for too long, and abandoned openings.
 
         A request whose answer is never observed would otherwise count as load until
         its flow ends.
         """
+        min_limit_ms = min(options.max_request_ms, options.max_handshake_ms)
         for flow in tuple(self._flows_in_progress.values()):
-            if (
-                flow.request_started_ms is None
-                or now_ms - flow.request_started_ms <= max_request_ms
-            ):
+            started_ms = flow.request_started_ms
+            if started_ms is None or now_ms - started_ms <= min_limit_ms:
                 return
-            self.finish_request(flow, now_ms)
+            is_started = flow.is_opened or flow.sent_sequence is not None
+            limit_ms = (
+                options.max_request_ms if is_started else options.max_handshake_ms
+            )
+            if now_ms - started_ms > limit_ms:
+                self.finish_request(flow, now_ms)
 
     def record_answer(self, flow: Flow, now_ms: float) -> float | None:
         """Record an answer; return its latency, None without a request in progress."""
--- a/src/cardamomtiller/forwarding/process.py
+++ b/src/cardamomtiller/forwarding/process.py
@@ -57,6 +57,8 @@
         Time for which the process continues to forward after a stop signal.
     tick_interval_ms
         Interval of periodic work such as expiry, announcements and log output.
+    release_interval_ms
+        Longest time between checks of the opening packets that wait for capacity.
     receive_buffer_bytes
         Socket buffer for packets that arrive while the process does other work.
     """
@@ -67,6 +69,7 @@
     internal_port: int
     stop_ms: float
     tick_interval_ms: float
+    release_interval_ms: float
     receive_buffer_bytes: int
     follower: FollowerOptions
     sources: SourceOptions
@@ -163,6 +166,7 @@
         while not self._is_stopped(monotonic_ms()):
             try:
                 self._poll_once()
+                self._release_waiting(monotonic_ms())
             except Exception as error:
                 # An input that raises an unexpected error must not end the process,
                 # which would interrupt all flows.
@@ -171,8 +175,14 @@
             if now_ms >= next_tick_ms:
                 next_tick_ms = now_ms + self._options.tick_interval_ms
                 self._tick(now_ms)
+        now_ms = monotonic_ms()
+        self._send(self._forwarder.release_all_waiting(now_ms), now_ms)
         self._follower.stop()
 
+    def _release_waiting(self, now_ms: float) -> None:
+        if self._forwarder.admission.waiting:
+            self._send(self._forwarder.release_waiting(now_ms), now_ms)
+
     def _log_defect(self, error: Exception) -> None:
         import traceback
 
@@ -197,9 +207,10 @@
 
     def _poll_once(self) -> None:
         """Wait for readable descriptors, at most one tick, and handle them."""
-        for descriptor, _ in self._poller.poll(
-            self._options.tick_interval_ms / MS_PER_S
-        ):
+        wait_ms = self._options.tick_interval_ms
+        if self._forwarder.admission.waiting:
+            wait_ms = self._options.release_interval_ms
+        for descriptor, _ in self._poller.poll(wait_ms / MS_PER_S):
             if descriptor == self._packet_socket.fileno():
                 self._forward_packets()
             elif descriptor == self._wake_reader:
@@ -342,9 +353,12 @@
         self._run_probes(now_ms)
         if self._endpoints is not None:
             self._follower.peers = self._endpoints.tick(now_ms)
+            self._forwarder.admission.instances = self._endpoints.fleet_size(now_ms)
         if self._settings_watch.is_reload_due(now_ms):
             self._reload(now_ms)
         self._meters.set_gauge('replica_age_ms', self._replica.age_ms(now_ms))
+        self._meters.set_gauge('opens_abandoned', self._forwarder.admission.abandoned)
+        self._meters.set_gauge('opens_waiting', self._forwarder.admission.waiting)
         self._meters.set_gauge('log_lines_suppressed', self._log.suppressed)
         self._log.flush()
 
--- a/src/cardamomtiller/forwarding/published/configuration.py
+++ b/src/cardamomtiller/forwarding/published/configuration.py
@@ -25,6 +25,8 @@
         Time after which a client abandons a request.
     target_latency_ms
         Latency objective of a request.
+    priority
+        Rank of the requests among those that wait; 0 is the most urgent.
     is_repeatable
         Whether a client may repeat a request that may already have been executed.
     """
@@ -34,6 +36,7 @@
     shares: tuple[Share, ...]
     timeout_ms: float
     target_latency_ms: float
+    priority: int = 0
     is_repeatable: bool = False
 
     def service_of(self, flow_hash: int) -> ServiceName:
--- a/src/cardamomtiller/forwarding/published/upstreams.py
+++ b/src/cardamomtiller/forwarding/published/upstreams.py
@@ -94,6 +94,7 @@
         self._by_address: dict[SocketAddress, Upstream] = {}
         # Built on first use after a change, because entries change in batches.
         self._pools: dict[ServiceName, tuple[Upstream, ...]] | None = None
+        self._slots: dict[ServiceName, int] = {}
 
     def __iter__(self) -> Iterator[Upstream]:
         """Iterate over a snapshot of all upstreams, including departed ones."""
@@ -125,6 +126,15 @@
             self._pools = self._build_pools()
         return self._pools.get(service, ())
 
+    def slots(self, service: ServiceName) -> int:
+        """Return the slots of all upstreams that accept new flows of a service."""
+        pool = self.pool(service)
+        slots = self._slots.get(service)
+        if slots is None:
+            slots = sum(upstream.entry.slots for upstream in pool)
+            self._slots[service] = slots
+        return slots
+
     def put(self, entry: UpstreamEntry, now_ms: float) -> Upstream:
         """Add an upstream, or update it with a changed entry."""
         upstream = self._by_id.get(entry.upstream)
@@ -182,6 +192,7 @@
             self._pools = None
 
     def _build_pools(self) -> dict[ServiceName, tuple[Upstream, ...]]:
+        self._slots.clear()
         pools: dict[ServiceName, list[Upstream]] = {}
         for upstream in self._by_id.values():
             is_eligible = upstream.state in {UpstreamState.READY, UpstreamState.MISSING}
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
+from cardamomtiller.forwarding.admission.control import Admission, Verdict
+from cardamomtiller.forwarding.admission.waitqueue import WaitingOpening
 from cardamomtiller.forwarding.observation.flows import Flow
 from cardamomtiller.forwarding.observation.unknowntokens import UnknownTokens
 from cardamomtiller.forwarding.packet import (
@@ -76,6 +78,13 @@
             options.departed_retention_ms,
         )
         self.observer = Observer(self.directory, options, self._reporter)
+        self.admission = Admission(
+            self.directory,
+            self.observer.loads,
+            self.observer.reachability,
+            options.admission,
+        )
+        self.observer.start_window = self.admission.start_window
         # Time for which the record source has confirmed the replica without a gap.
         self.steady_for_ms: float = 0
 
@@ -144,6 +153,17 @@
             )
             yield self._reset_delivery(flow.key, flow.acknowledged or 0)
 
+    def release_waiting(self, now_ms: float) -> Iterator[Delivery]:
+        """Place the flows whose opening packets have waited long enough."""
+        for release in self.admission.release(now_ms):
+            self._reporter.opening_released(release, now_ms)
+            yield from self._place_waiting(release.opening, now_ms)
+
+    def release_all_waiting(self, now_ms: float) -> Iterator[Delivery]:
+        """Place all flows whose opening packets wait, before the process stops."""
+        for opening in self.admission.release_all():
+            yield from self._place_waiting(opening, now_ms)
+
     def _can_client_retry(self, flow: Flow, now_ms: float) -> bool:
         """Return whether a waiting client may retry and its timeout has not passed."""
         route = self.configuration.routes.get(flow.key.route)
@@ -168,11 +188,45 @@
         if route is None:
             yield from self._refuse_unrouted(packet, now_ms)
             return
+        # A copy of a packet that was forwarded before adds no work.
+        if packet.copy_number and self.observer.has_flow(packet.flow):
+            yield from self._place_flow(packet, datagram, route, now_ms)
+            return
+        service = route.service_of(hash_flow(packet.flow))
+        decision = self.admission.decide(packet, datagram, route, service, now_ms)
+        if decision.verdict is Verdict.FORWARD:
+            yield from self._place_flow(packet, datagram, route, now_ms)
+            return
+        self._reporter.opening_postponed(packet, service, decision, now_ms)
+        if decision.verdict is Verdict.REJECT:
+            yield self._reset_delivery(packet.flow, packet.acknowledged)
+
+    def _place_waiting(
+        self,
+        opening: WaitingOpening,
+        now_ms: float,
+    ) -> Iterator[Delivery]:
+        """Place a flow by the configuration and load of now, not of its arrival."""
+        route = self.configuration.routes.get(opening.packet.flow.route)
+        if route is None:
+            yield from self._refuse_unrouted(opening.packet, now_ms)
+            return
+        yield from self._place_flow(opening.packet, opening.datagram, route, now_ms)
+
+    def _place_flow(
+        self,
+        packet: Packet,
+        datagram: bytes,
+        route: Route,
+        now_ms: float,
+    ) -> Iterator[Delivery]:
         choice = self._place(packet, route, now_ms)
         if choice is None:
             yield from self._refuse_unserved(packet, now_ms)
             return
-        self.observer.open_flow(packet.flow, choice.upstream, now_ms)
+        self.observer.open_flow(
+            packet.flow, choice.upstream, now_ms, route.target_latency_ms
+        )
         version = self.configuration.version
         self._reporter.flow_placed(packet, route, choice, version, now_ms)
         opening = self._format.with_token(datagram, choice.upstream.token)
--- a/src/cardamomtiller/forwarding/routing/observing.py
+++ b/src/cardamomtiller/forwarding/routing/observing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from cardamomtiller.forwarding.admission.limit import StartWindow
 from cardamomtiller.forwarding.observation.flows import Flow, FlowTable, Observation
 from cardamomtiller.forwarding.observation.load import LoadTable, UpstreamLoad
 from cardamomtiller.forwarding.observation.reachability import (
@@ -33,6 +34,7 @@
         self.loads = LoadTable()
         self.reachability = Reachability(options.reachability)
         self._newly_unreachable: list[Upstream] = []
+        self.start_window: StartWindow | None = None
 
     def handle_repeated_open(self, packet: Packet, now_ms: float) -> UpstreamId | None:
         """
@@ -52,12 +54,37 @@
         self._reporter.meters.count('opens_repeated')
         return flow.upstream.entry.upstream
 
-    def open_flow(self, key: FlowKey, upstream: Upstream, now_ms: float) -> None:
-        """Add a new flow of an upstream; it replaces a flow with the same key."""
+    def has_flow(self, key: FlowKey) -> bool:
+        """Return whether a flow is in the table."""
+        return self._flows.find(key) is not None
+
+    def open_flow(
+        self,
+        key: FlowKey,
+        upstream: Upstream,
+        now_ms: float,
+        target_latency_ms: float | None = None,
+    ) -> None:
+        """
+        Add a new flow of an upstream; it replaces a flow with the same key.
+
+        Parameters
+        ----------
+        key
+            Identity of the flow.
+        upstream
+            Where its opening packet is sent.
+        now_ms
+            Current time.
+        target_latency_ms
+            Latency objective of its requests, None if its answers do not change the
+            start window.
+        """
         replaced = self._flows.remove(key)
         if replaced is not None:
             self.loads.remove_flow(replaced, now_ms)
         flow = Flow(key, upstream, now_ms)
+        flow.target_latency_ms = target_latency_ms
         self._add(flow, now_ms)
         # The first request follows the opening packet within a round trip, so it counts
         # as load already.
@@ -128,7 +155,7 @@
                     self._suspect(upstream, 'reported', now_ms)
         for idle in self._flows.pop_idle(now_ms):
             self.loads.remove_flow(idle, now_ms)
-        self.loads.finish_overdue_requests(self._options.flows.max_request_ms, now_ms)
+        self.loads.finish_overdue_requests(self._options.flows, now_ms)
         self.loads.retain({upstream.token for upstream in self._directory})
         self._reporter.meters.set_gauge('flows', len(self._flows))
 
@@ -147,7 +174,7 @@
             self._record_response(flow.upstream, now_ms)
             elapsed_ms = self.loads.record_answer(flow, now_ms)
             if elapsed_ms is not None:
-                self._reporter.meters.observe('request_ms', elapsed_ms)
+                self._record_latency(flow, elapsed_ms)
         elif observation is Observation.RETRANSMISSION:
             self._reporter.meters.count('retransmissions')
             self._handle_retransmission(flow, now_ms)
@@ -155,6 +182,11 @@
             self._flows.remove(flow.key)
             self.loads.remove_flow(flow, now_ms)
 
+    def _record_latency(self, flow: Flow, latency_ms: float) -> None:
+        self._reporter.meters.observe('request_ms', latency_ms)
+        if self.start_window is not None and flow.target_latency_ms is not None:
+            self.start_window.record_answer(latency_ms, flow.target_latency_ms)
+
     def _handle_retransmission(self, flow: Flow, now_ms: float) -> None:
         load = self.loads.get_or_create(flow.upstream.token)
         if flow.retransmissions == 1:
--- a/src/cardamomtiller/forwarding/routing/options.py
+++ b/src/cardamomtiller/forwarding/routing/options.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+from cardamomtiller.forwarding.admission.control import AdmissionOptions
+from cardamomtiller.forwarding.admission.limit import LimitOptions
+from cardamomtiller.forwarding.admission.waitqueue import WaitOptions
 from cardamomtiller.forwarding.observation.flows import FlowOptions
 from cardamomtiller.forwarding.observation.load import SilenceOptions
 from cardamomtiller.forwarding.observation.reachability import (
@@ -35,6 +38,7 @@
         Time for which a token must be unknown before its upstream is considered gone.
     """
 
+    admission: AdmissionOptions
     placement: PlacementOptions
     reachability: ReachabilityOptions
     flows: FlowOptions
@@ -62,8 +66,27 @@
     silence=DEFAULT_SILENCE,
     max_candidates=32,
 )
-DEFAULT_FLOWS = FlowOptions(capacity=100_000, idle_ms=15_000, max_request_ms=600)
+DEFAULT_FLOWS = FlowOptions(
+    capacity=100_000, idle_ms=15_000, max_request_ms=600, max_handshake_ms=150
+)
+DEFAULT_ADMISSION = AdmissionOptions(
+    limit=LimitOptions(
+        requests_per_slot=3.0,
+        initial_window=6,
+        unqueued_latencies=1.5,
+        counted_latencies=4.0,
+        max_report_age_ms=1500,
+    ),
+    wait=WaitOptions(
+        max_waiting=500,
+        max_age_ms=1000,
+        copy_ages_ms=(0, 200, 600),
+        copy_delay_ms=100,
+        late_turn_interval=16,
+    ),
+)
 DEFAULT_FORWARDING = ForwardingOptions(
+    admission=DEFAULT_ADMISSION,
     placement=DEFAULT_PLACEMENT,
     reachability=DEFAULT_REACHABILITY,
     flows=DEFAULT_FLOWS,
--- a/src/cardamomtiller/forwarding/telemetry/reporting.py
+++ b/src/cardamomtiller/forwarding/telemetry/reporting.py
@@ -2,6 +2,7 @@
 
 from enum import Enum
 
+from cardamomtiller.forwarding.admission.control import Decision, Release
 from cardamomtiller.forwarding.observation.reachability import PathChange
 from cardamomtiller.forwarding.packet import FlowKey, Packet, Token, format_flow
 from cardamomtiller.forwarding.placement.selection import Choice
@@ -9,7 +10,7 @@
 from cardamomtiller.forwarding.published.upstreams import Upstream
 from cardamomtiller.forwarding.telemetry.decisionlog import DecisionLog
 from cardamomtiller.forwarding.telemetry.meters import Meters
-from cardamomtiller.ids import Version
+from cardamomtiller.ids import ServiceName, Version
 
 
 class DropReason(Enum):
@@ -146,6 +147,47 @@
             configuration=version,
         )
 
+    def opening_postponed(
+        self,
+        packet: Packet,
+        service: ServiceName,
+        decision: Decision,
+        now_ms: float,
+    ) -> None:
+        """Report an opening packet that waits or is rejected for lack of capacity."""
+        self.meters.count(f'opens_{decision.verdict.value}')
+        self._log.write(
+            'opening_postponed',
+            now_ms,
+            flow=format_flow(packet.flow),
+            copy=packet.copy_number,
+            service=service,
+            outcome=decision.verdict.value,
+            in_progress=decision.in_progress,
+            limit=_rounded(decision.limit),
+            waiting=decision.waiting,
+        )
+
+    def opening_released(self, release: Release, now_ms: float) -> None:
+        """Report that an opening packet leaves the wait queue."""
+        opening = release.opening
+        wait_ms = now_ms - opening.arrived_ms
+        self.meters.count(f'opens_released_{release.reason.value}')
+        self.meters.observe('open_wait_ms', wait_ms)
+        self._log.write(
+            'opening_released',
+            now_ms,
+            flow=format_flow(opening.packet.flow),
+            copy=opening.packet.copy_number,
+            service=release.service,
+            reason=release.reason.value,
+            waited_ms=round(wait_ms),
+            age_ms=round(now_ms - opening.opened_ms),
+            in_progress=release.in_progress,
+            limit=_rounded(release.limit),
+            waiting=release.waiting,
+        )
+
     def packet_dropped(
         self,
         reason: DropReason,
@@ -187,3 +229,7 @@
             entry_age_ms=round(now_ms - upstream.changed_ms) if upstream else None,
             replica_steady_ms=round(steady_for_ms),
         )
+
+
+def _rounded(limit: float | None) -> float | None:
+    return None if limit is None else round(limit, 1)
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -468,8 +468,12 @@
 
 @then('the flow table stays within its capacity')
 def step_capacity(context):
-    flows = FlowOptions(capacity=50, idle_ms=15_000, max_request_ms=600)
-    forwarder = rig.make_forwarder(options=DEFAULT_FORWARDING._replace(flows=flows))
+    flows = FlowOptions(
+        capacity=50, idle_ms=15_000, max_request_ms=600, max_handshake_ms=150
+    )
+    forwarder = rig.make_forwarder(
+        options=rig.FORWARDING_WITHOUT_LIMIT._replace(flows=flows)
+    )
     for port in range(1000, 3000):
         rig.open_flow(forwarder, port)
     forwarder.sweep(1)
--- a/tests/forwarding_rig.py
+++ b/tests/forwarding_rig.py
@@ -23,7 +23,10 @@
 )
 from cardamomtiller.forwarding.published.upstreams import UpstreamEntry  # noqa: E402
 from cardamomtiller.forwarding.routing.forwarder import Forwarder  # noqa: E402
-from cardamomtiller.forwarding.routing.options import DEFAULT_FORWARDING  # noqa: E402
+from cardamomtiller.forwarding.routing.options import (  # noqa: E402
+    DEFAULT_ADMISSION,
+    DEFAULT_FORWARDING,
+)
 from cardamomtiller.forwarding.telemetry.decisionlog import DecisionLog, LogOptions  # noqa: E402
 from cardamomtiller.forwarding.telemetry.meters import Meters  # noqa: E402
 from cardamomtiller.ids import (  # noqa: E402
@@ -41,6 +44,13 @@
 CLIENT_PORT = 8172
 FRAME_BYTES = 8
 LOCAL_DOMAIN = DomainName('a')
+# For the tests of all other decisions: they open many flows at one moment.
+UNLIMITED = DEFAULT_ADMISSION._replace(
+    limit=DEFAULT_ADMISSION.limit._replace(
+        requests_per_slot=1_000_000, initial_window=1_000_000
+    )
+)
+FORWARDING_WITHOUT_LIMIT = DEFAULT_FORWARDING._replace(admission=UNLIMITED)
 
 
 def packet(port, flags=ACK_FLAG, *, seq=0, ack=0, size=0, token=0, route_port=443):
@@ -81,6 +91,16 @@
     return Token(unpack_from('>I', delivery.datagram, FRAME_BYTES + TOKEN_OFFSET)[0])
 
 
+def flow_port(delivery):
+    """Return the client's port of the framed packet in a delivery to an upstream."""
+    return HEADER.unpack_from(delivery.datagram, FRAME_BYTES)[7]
+
+
+def client_port(delivery):
+    """Return the client's port of a reset."""
+    return HEADER.unpack_from(delivery.datagram)[9]
+
+
 def is_reset(delivery):
     """Return whether a delivery is a reset that goes to the client."""
     flags = delivery.datagram[12]
@@ -117,6 +137,8 @@
     ports=(ROUTE_PORT,),
     service='orders',
     is_repeatable=False,
+    timeout_ms=1000,
+    target_latency_ms=100,
 ):
     """Return a configuration with a route for each port."""
     routes = [
@@ -124,8 +146,8 @@
             name=f'route-{port}',
             address=RouteAddress(pack_address(ROUTE_IP, port)),
             shares=(Share(ServiceName(service), 1),),
-            timeout_ms=1000,
-            target_latency_ms=100,
+            timeout_ms=timeout_ms,
+            target_latency_ms=target_latency_ms,
             is_repeatable=is_repeatable,
         )
         for port in ports
@@ -136,7 +158,7 @@
 
 def make_forwarder(
     names=('u-1', 'u-2', 'u-3'),
-    options=DEFAULT_FORWARDING,
+    options=FORWARDING_WITHOUT_LIMIT,
     policy=Forwarder,
     domain=LOCAL_DOMAIN,
     regions=None,
