Report any malformed record, and apply the records that follow it

Cause: numbers beyond the range of a float (1e400, a version of 400 digits) raised OverflowError, a traffic_split of 5 TypeError, an id with a lone surrogate UnicodeEncodeError past the handler for ValueError. The rest of the batch was lost, the revision was not advanced, and all later changes were refused as incomplete. An announcement with such a number stopped the batch of datagrams; one with an infinite capacity was relayed, and then no announcement could be encoded.

--- a/src/cardamomtiller/forwarding/fleet/membertable.py
+++ b/src/cardamomtiller/forwarding/fleet/membertable.py
@@ -12,6 +12,7 @@
 import zlib
 from collections.abc import Iterable, Iterator, Sequence
 from itertools import chain, islice
+from math import isfinite
 from typing import NamedTuple, TypeVar
 
 import ujson
@@ -21,6 +22,15 @@
 
 ItemT = TypeVar('ItemT')
 
+MALFORMED_ERRORS = (
+    zlib.error,
+    IndexError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
+
 MESSAGE_VERSION = 2
 COMPRESSION_LEVEL = 1
 MAX_TEXT_BYTES = 65_536
@@ -120,11 +130,11 @@
             is_reply_wanted=bool(message['reply']),
             is_leaving=bool(message['leaving']),
             known_members=tuple(
-                KnownMember(_read_member(row[:-1]), max(0, float(row[-1])))
+                KnownMember(_read_member(row[:-1]), max(0, _read_number(row[-1])))
                 for row in message['members']
             ),
         )
-    except (zlib.error, KeyError, TypeError, ValueError, IndexError) as error:
+    except MALFORMED_ERRORS as error:
         raise AnnouncementError(f'not an announcement: {error!r}') from error
 
 
@@ -317,16 +327,20 @@
     instance, domain, host, capacity = row
     if not all(isinstance(text, str) for text in (instance, domain, host)):
         raise AnnouncementError('instance, domain and host of a member must be strings')
-    if not isinstance(capacity, (int, float)):
-        raise AnnouncementError('capacity of a member must be a number')
     return Member(
         InstanceId(str(instance)),
         DomainName(str(domain)),
         str(host),
-        float(capacity),
+        _read_number(capacity),
     )
 
 
+def _read_number(number: object) -> float:
+    if not isinstance(number, (int, float)) or not isfinite(number):
+        raise AnnouncementError(f'{number!r:.99} is not a finite number')
+    return float(number)
+
+
 DEFAULT_FLEET = FleetOptions(
     interval_ms=1000,
     startup_interval_ms=200,
--- a/src/cardamomtiller/forwarding/replication/replica.py
+++ b/src/cardamomtiller/forwarding/replication/replica.py
@@ -7,6 +7,7 @@
 from cardamomtiller.forwarding.published.records import (
     NO_REVISION,
     Batch,
+    DecodedRecord,
     EntryRemoval,
     MalformedRecord,
     Record,
@@ -195,7 +196,7 @@
         self._apply_change(record, now_ms)
 
     def _apply_change(self, record: Record, now_ms: float) -> None:
-        change = self._decoder.decode(record)
+        change = self._decode(record)
         if isinstance(change, Configuration):
             self._forwarder.apply_configuration(change, now_ms)
         elif isinstance(change, UpstreamEntry):
@@ -205,6 +206,14 @@
         elif isinstance(change, MalformedRecord):
             self._report_malformed(record, change, now_ms)
 
+    def _decode(self, record: Record) -> DecodedRecord | None:
+        try:
+            return self._decoder.decode(record)
+        except Exception as error:
+            # An error here would skip the records that follow, and the changes after
+            # them would be refused as incomplete.
+            return MalformedRecord(None, f'unexpected error: {error!r:.200}')
+
     def _report_malformed(
         self,
         record: Record,
