Avoid upstreams that answer much shorter than the others of their service

Change: observation.outcomes. The acknowledgements of a client show the size of each answer; the share of answers below 0.4 of the mean of their route, of this instance and of the load reports, is compared with the median of the pool, and what exceeds it by more than 1.5 standard deviations is a cost of the upstream. Reports carry two more bytes a row, as far as the datagram has space; reports without them are still read.

--- a/src/cardamomtiller/forwarding/fleet/loadsharing.py
+++ b/src/cardamomtiller/forwarding/fleet/loadsharing.py
@@ -14,6 +14,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from enum import Enum
+from itertools import chain, repeat
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.member import Member, rank
@@ -23,14 +24,19 @@
 
 HEADER = struct.Struct('>BBH')
 ROW = struct.Struct('>IHH')
+ANSWERS = struct.Struct('>BB')
 MAGIC = 0x4C
-# Keeps a datagram below the usual MTU of 1500 bytes.
+# Payload of a UDP datagram within the usual MTU of 1500 bytes.
+MAX_DATAGRAM_BYTES = 1472
 MAX_DATAGRAM_ROWS = 150
 # Lower bound of the rows of a report in a failure domain with many members.
 MIN_REPORT_ROWS = 16
-# Loads are sent as fixed-point numbers in units of 1/64 request.
+# Loads are sent as fixed-point numbers in units of 1/64 request, answers in units of
+# 1/4 answer.
 SCALE = 64
+ANSWER_SCALE = 4
 MAX_FIELD = 0xFFFF
+MAX_ANSWERS_FIELD = 0xFF
 
 
 class ReportKind(Enum):
@@ -43,11 +49,24 @@
 
 
 class LoadRow(NamedTuple):
-    """Mean requests in progress and unanswered requests at one upstream."""
+    """
+    Load of one upstream.
+
+    Attributes
+    ----------
+    busy
+        Mean number of requests in progress.
+    unanswered
+        Number of unanswered requests.
+    answers, short_answers
+        Number of recent answers, and of those that were much shorter than usual.
+    """
 
     token: Token
     busy: float
     unanswered: float
+    answers: float = 0
+    short_answers: float = 0
 
 
 class LoadReport(NamedTuple):
@@ -99,23 +118,35 @@
 
 
 def encode_report(report: LoadReport) -> bytes:
-    """Return a report as a datagram, without the smallest loads if it is too large."""
+    """
+    Return a report as a datagram, without the smallest loads if it is too large.
+
+    The loads are followed by the answers of the first rows, as far as there is space.
+    """
     rows = busiest_rows(report.rows, MAX_DATAGRAM_ROWS)
     chunks = [HEADER.pack(MAGIC, report.kind.value, len(rows))]
     for row in rows:
-        fields = (min(MAX_FIELD, round(number * SCALE)) for number in row[1:])
-        chunks.append(ROW.pack(row.token, *fields))
+        fields = (row.busy, row.unanswered)
+        scaled = (min(MAX_FIELD, round(number * SCALE)) for number in fields)
+        chunks.append(ROW.pack(row.token, *scaled))
+    space_bytes = MAX_DATAGRAM_BYTES - HEADER.size - len(rows) * ROW.size
+    for row in rows[: space_bytes // ANSWERS.size]:
+        chunks.append(ANSWERS.pack(*_scaled_answers(row)))
     return b''.join(chunks)
 
 
 def busiest_rows(rows: tuple[LoadRow, ...], limit: int) -> tuple[LoadRow, ...]:
-    """Return the rows with the most requests in progress and unanswered requests."""
+    """Return the rows with the most load, and with unanswered requests and short answers."""
     if len(rows) <= limit:
         return rows
-    ranked = sorted(rows, key=lambda row: row.busy + row.unanswered, reverse=True)
+    ranked = sorted(rows, key=_importance, reverse=True)
     return tuple(ranked[:limit])
 
 
+def _importance(row: LoadRow) -> float:
+    return row.busy + row.unanswered + row.short_answers
+
+
 def decode_report(datagram: bytes) -> LoadReport:
     """
     Decode a load report.
@@ -127,14 +158,25 @@
     """
     try:
         magic, kind, count = HEADER.unpack_from(datagram)
-        if magic != MAGIC or len(datagram) != HEADER.size + count * ROW.size:
+        loads_end = HEADER.size + count * ROW.size
+        answers_bytes = len(datagram) - loads_end
+        if magic != MAGIC or not 0 <= answers_bytes <= count * ANSWERS.size:
             raise ReportError('wrong magic byte or length')
-        rows = ROW.iter_unpack(datagram[HEADER.size :])
+        loads = ROW.iter_unpack(datagram[HEADER.size : loads_end])
+        answers = chain(ANSWERS.iter_unpack(datagram[loads_end:]), repeat((0, 0)))
         return LoadReport(
             ReportKind(kind),
             tuple(
-                LoadRow(Token(token), busy / SCALE, unanswered / SCALE)
-                for token, busy, unanswered in rows
+                LoadRow(
+                    Token(token),
+                    busy / SCALE,
+                    unanswered / SCALE,
+                    all_answers / ANSWER_SCALE,
+                    short_answers / ANSWER_SCALE,
+                )
+                for (token, busy, unanswered), (all_answers, short_answers) in zip(
+                    loads, answers, strict=False
+                )
             ),
         )
     except (struct.error, ValueError) as error:
@@ -177,6 +219,8 @@
             row = rows_by_token.get(token)
             load.others_busy = row.busy if row else 0
             load.others_unanswered = row.unanswered if row else 0
+            load.others_answers = row.answers if row else 0
+            load.others_short_answers = row.short_answers if row else 0
 
     def due_reports(
         self,
@@ -293,8 +337,15 @@
     def _local_rows(self, now_ms: float) -> Iterator[LoadRow]:
         for token, load in self._loads:
             unanswered = load.unanswered(now_ms)
-            if max(load.mean_busy, unanswered) > 1 / SCALE:
-                yield LoadRow(token, load.mean_busy, unanswered)
+            is_idle = max(load.mean_busy, unanswered) <= 1 / SCALE
+            if not is_idle or load.answers > 1 / ANSWER_SCALE:
+                yield LoadRow(
+                    token,
+                    load.mean_busy,
+                    unanswered,
+                    load.answers,
+                    load.short_answers,
+                )
 
     def _domain_rows(self, now_ms: float) -> Iterator[LoadRow]:
         reports = self._recent_rows(self._reports_by_host.values(), now_ms)
@@ -336,10 +387,26 @@
 
 
 def _sum_rows(rows: Iterable[LoadRow]) -> Iterator[LoadRow]:
-    busy: dict[Token, float] = defaultdict(float)
-    unanswered: dict[Token, float] = defaultdict(float)
+    sums: dict[Token, LoadRow] = {}
     for row in rows:
-        busy[row.token] += row.busy
-        unanswered[row.token] += row.unanswered
-    for token, total in busy.items():
-        yield LoadRow(token, total, unanswered[token])
+        total = sums.get(row.token)
+        sums[row.token] = row if total is None else _add(total, row)
+    yield from sums.values()
+
+
+def _add(first: LoadRow, second: LoadRow) -> LoadRow:
+    return LoadRow(
+        first.token,
+        first.busy + second.busy,
+        first.unanswered + second.unanswered,
+        first.answers + second.answers,
+        first.short_answers + second.short_answers,
+    )
+
+
+def _scaled_answers(row: LoadRow) -> tuple[int, int]:
+    """Return both numbers of answers as they are sent; they keep their ratio."""
+    largest = MAX_ANSWERS_FIELD / ANSWER_SCALE
+    scale = ANSWER_SCALE * min(1, largest / max(row.answers, 1))
+    short_answers = min(row.short_answers, row.answers)
+    return round(row.answers * scale), round(short_answers * scale)
--- a/src/cardamomtiller/forwarding/observation/flows.py
+++ b/src/cardamomtiller/forwarding/observation/flows.py
@@ -58,7 +58,9 @@
 
     __slots__ = (
         'acknowledged',
+        'answer_start',
         'is_opened',
+        'is_opened_here',
         'key',
         'last_packet_ms',
         'last_payload_ms',
@@ -78,7 +80,12 @@
         self.last_payload_ms = now_ms
         self.last_packet_ms = now_ms
         self.is_opened = False
+        # Whether the opening packet came through this instance.
+        self.is_opened_here = False
         self.acknowledged: int | None = None
+        # Position of the first byte of the answer that is expected or arriving; None
+        # if this instance has not seen the start of the flow.
+        self.answer_start: int | None = None
         self.sent_sequence: int | None = None
         # Start of the request that counts as load, None if there is none.
         self.request_started_ms: float | None = None
@@ -89,6 +96,14 @@
         self.requests = 0
         self.retransmissions = 0
 
+    def take_answer_bytes(self) -> int:
+        """Return the size of the answer so far, and expect another one after it."""
+        if self.answer_start is None or self.acknowledged is None:
+            return 0
+        answer_bytes = self.acknowledged - self.answer_start & SEQUENCE_MASK
+        self.answer_start = self.acknowledged
+        return answer_bytes
+
     def observe(self, packet: Packet, now_ms: float) -> Observation:
         """Update the flow with a packet and return the resulting event."""
         self.last_packet_ms = now_ms
--- a/src/cardamomtiller/forwarding/observation/load.py
+++ b/src/cardamomtiller/forwarding/observation/load.py
@@ -57,6 +57,13 @@
         Mean number of requests in progress that the other instances report.
     others_unanswered
         Number of unanswered requests that the other instances report.
+    answers, short_answers
+        Number of recent answers of this instance's flows, and of those that were much
+        shorter than usual, with exponential decay by age.
+    others_answers, others_short_answers
+        The same numbers that the other instances report.
+    short_excess
+        How much the share of short answers exceeds that of the other upstreams.
     last_response_ms
         Time of the last acknowledgement or answer, None if there was none.
     unanswered_opens, retransmitting_flows
@@ -71,6 +78,7 @@
         '_mean_updated_ms',
         '_unanswered_count',
         '_unanswered_updated_ms',
+        'answers',
         'in_progress',
         'last_placed_ms',
         'last_response_ms',
@@ -78,9 +86,13 @@
         'mean_busy',
         'mean_latency_ms',
         'open_flows',
+        'others_answers',
         'others_busy',
+        'others_short_answers',
         'others_unanswered',
         'retransmitting_flows',
+        'short_answers',
+        'short_excess',
         'unanswered_opens',
     )
 
@@ -91,6 +103,11 @@
         self.mean_busy: float = 0
         self.others_busy: float = 0
         self.others_unanswered: float = 0
+        self.answers: float = 0
+        self.short_answers: float = 0
+        self.others_answers: float = 0
+        self.others_short_answers: float = 0
+        self.short_excess: float = 0
         self.last_response_ms: float | None = None
         self.mean_latency_ms: float | None = None
         self.latency_updated_ms: float = 0
@@ -158,6 +175,16 @@
             (self._unanswered_updated_ms - now_ms) / UNANSWERED_DECAY_MS
         )
 
+    def record_answer_size(self, is_short: bool) -> None:
+        """Count an answer."""
+        self.answers += 1
+        self.short_answers += is_short
+
+    def decay_answers(self, factor: float) -> None:
+        """Reduce the numbers of recent answers."""
+        self.answers *= factor
+        self.short_answers *= factor
+
     def record_response(self, now_ms: float) -> None:
         """Record a response of the upstream and reset the silence counters."""
         self.last_response_ms = now_ms
--- a/src/cardamomtiller/forwarding/placement/selection.py
+++ b/src/cardamomtiller/forwarding/placement/selection.py
@@ -45,6 +45,8 @@
         Cost of a mean latency that is twice the lowest one among the candidates.
     unanswered_weight
         Weight of a recent request that was retransmitted twice without an answer.
+    short_answers_cost
+        Cost of an upstream that sends only short answers while the others send none.
     same_region_cost
         Cost of an upstream in another failure domain of the same region.
     other_region_cost
@@ -65,6 +67,7 @@
     others_busy_weight: float
     latency_weight: float
     unanswered_weight: float
+    short_answers_cost: float
     same_region_cost: float
     other_region_cost: float
     slow_start_cost: float
@@ -209,6 +212,7 @@
         load.unanswered(now_ms) + load.others_unanswered
     )
     cost = weighted_load / upstream.entry.slots
+    cost += options.short_answers_cost * load.short_excess
     distance = locality.distance(upstream.entry.domain)
     if distance is Distance.SAME_REGION:
         cost += options.same_region_cost
--- a/src/cardamomtiller/forwarding/published/upstreams.py
+++ b/src/cardamomtiller/forwarding/published/upstreams.py
@@ -126,6 +126,12 @@
             self._pools = self._build_pools()
         return self._pools.get(service, ())
 
+    def pools(self) -> Iterator[tuple[Upstream, ...]]:
+        """Iterate over the upstreams of each service that may get new flows."""
+        if self._pools is None:
+            self._pools = self._build_pools()
+        return iter(tuple(self._pools.values()))
+
     def slots(self, service: ServiceName) -> int:
         """Return the slots of all upstreams that accept new flows of a service."""
         pool = self.pool(service)
--- a/src/cardamomtiller/forwarding/routing/observing.py
+++ b/src/cardamomtiller/forwarding/routing/observing.py
@@ -1,10 +1,15 @@
 """Tracking of flows, upstream load and unresponsive upstreams by client packets."""
 
 from collections.abc import Iterator
+from math import exp
 
 from cardamomtiller.forwarding.admission.limit import StartWindow
 from cardamomtiller.forwarding.observation.flows import Flow, FlowTable, Observation
 from cardamomtiller.forwarding.observation.load import LoadTable, UpstreamLoad
+from cardamomtiller.forwarding.observation.outcomes import (
+    AnswerSizes,
+    update_short_excess,
+)
 from cardamomtiller.forwarding.observation.reachability import (
     PathChange,
     PathState,
@@ -16,6 +21,11 @@
 from cardamomtiller.forwarding.telemetry.reporting import Reporter
 from cardamomtiller.ids import UpstreamId
 
+OUTCOME_INTERVAL_MS = 500
+# Time constant: an answer counts 1/e of its weight after this time. An upstream that
+# gets no flows because it failed is tried again after a few times as long.
+ANSWER_DECAY_MS = 5000.0
+
 
 class Observer:
     """Updates flow table, load estimates and path states from client packets."""
@@ -35,6 +45,8 @@
         self.reachability = Reachability(options.reachability)
         self._newly_unreachable: list[Upstream] = []
         self.start_window: StartWindow | None = None
+        self.answer_sizes = AnswerSizes(options.outcomes)
+        self._outcomes_updated_ms: float = 0
 
     def handle_repeated_open(self, packet: Packet, now_ms: float) -> UpstreamId | None:
         """
@@ -85,6 +97,7 @@
             self.loads.remove_flow(replaced, now_ms)
         flow = Flow(key, upstream, now_ms)
         flow.target_latency_ms = target_latency_ms
+        flow.is_opened_here = True
         self._add(flow, now_ms)
         # The first request follows the opening packet within a round trip, so it counts
         # as load already.
@@ -104,6 +117,8 @@
         observation = flow.observe(packet, now_ms)
         if flow.is_opened and not was_opened:
             self._record_response(upstream, now_ms)
+            if flow.is_opened_here:
+                flow.answer_start = flow.acknowledged
         self._apply_observation(flow, observation, now_ms)
 
     def is_unreachable(self, upstream: Upstream) -> bool:
@@ -156,6 +171,7 @@
         for idle in self._flows.pop_idle(now_ms):
             self.loads.remove_flow(idle, now_ms)
         self.loads.finish_overdue_requests(self._options.flows, now_ms)
+        self._update_outcomes(now_ms)
         self.loads.retain({upstream.token for upstream in self._directory})
         self._reporter.meters.set_gauge('flows', len(self._flows))
 
@@ -168,6 +184,8 @@
     def _apply_observation(
         self, flow: Flow, observation: Observation, now_ms: float
     ) -> None:
+        if observation in {Observation.REQUEST, Observation.END}:
+            self._record_answer_size(flow)
         if observation is Observation.REQUEST:
             self.loads.start_request(flow, now_ms)
         elif observation is Observation.ANSWER:
@@ -182,6 +200,27 @@
             self._flows.remove(flow.key)
             self.loads.remove_flow(flow, now_ms)
 
+    def _record_answer_size(self, flow: Flow) -> None:
+        answer_bytes = flow.take_answer_bytes()
+        if answer_bytes:
+            is_short = self.answer_sizes.is_short(flow.key.route, answer_bytes)
+            load = self.loads.get_or_create(flow.upstream.token)
+            load.record_answer_size(is_short)
+
+    def _update_outcomes(self, now_ms: float) -> None:
+        elapsed_ms = now_ms - self._outcomes_updated_ms
+        if elapsed_ms < OUTCOME_INTERVAL_MS:
+            return
+        self._outcomes_updated_ms = now_ms
+        factor = exp(-elapsed_ms / ANSWER_DECAY_MS)
+        for _, load in self.loads:
+            load.decay_answers(factor)
+        for pool in self._directory.pools():
+            update_short_excess(
+                (self.loads.get_or_create(upstream.token) for upstream in pool),
+                self._options.outcomes,
+            )
+
     def _record_latency(self, flow: Flow, latency_ms: float) -> None:
         self._reporter.meters.observe('request_ms', latency_ms)
         if self.start_window is not None and flow.target_latency_ms is not None:
--- a/src/cardamomtiller/forwarding/routing/options.py
+++ b/src/cardamomtiller/forwarding/routing/options.py
@@ -7,6 +7,10 @@
 from cardamomtiller.forwarding.admission.waitqueue import WaitOptions
 from cardamomtiller.forwarding.observation.flows import FlowOptions
 from cardamomtiller.forwarding.observation.load import SilenceOptions
+from cardamomtiller.forwarding.observation.outcomes import (
+    DEFAULT_OUTCOMES,
+    OutcomeOptions,
+)
 from cardamomtiller.forwarding.observation.reachability import (
     DEFAULT_REACHABILITY,
     ReachabilityOptions,
@@ -42,6 +46,7 @@
     placement: PlacementOptions
     reachability: ReachabilityOptions
     flows: FlowOptions
+    outcomes: OutcomeOptions
     missing_entry_grace_ms: float
     departed_retention_ms: float
     silent_flows_threshold: int
@@ -58,6 +63,7 @@
     others_busy_weight=0.1,
     latency_weight=0.1,
     unanswered_weight=0.1,
+    short_answers_cost=20.0,
     same_region_cost=0.34,
     other_region_cost=1.0,
     slow_start_cost=0.7,
@@ -90,6 +96,7 @@
     placement=DEFAULT_PLACEMENT,
     reachability=DEFAULT_REACHABILITY,
     flows=DEFAULT_FLOWS,
+    outcomes=DEFAULT_OUTCOMES,
     missing_entry_grace_ms=2000,
     departed_retention_ms=60_000,
     silent_flows_threshold=2,
