Reset only the first copy of an opening packet that cannot be served

Cause, by reading: a later copy can reach an instance while another one has opened the flow of an earlier copy, for example when the routers change their selection. A reset then ends an open flow of a living upstream. Change: later copies are dropped; the client abandons the attempt by itself. Test, failing before: a later copy of it is dropped, because the flow may be open by then.

--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -198,7 +198,9 @@
             yield from self._place_flow(packet, datagram, route, now_ms)
             return
         self._reporter.opening_postponed(packet, service, decision, now_ms)
-        if decision.verdict is Verdict.REJECT:
+        # A copy may arrive after another instance has opened the flow, and a reset would
+        # end it then.
+        if decision.verdict is Verdict.REJECT and not packet.copy_number:
             yield self._reset_delivery(packet.flow, packet.acknowledged)
 
     def _place_waiting(
--- a/tests/features/forwarding_admission.feature
+++ b/tests/features/forwarding_admission.feature
@@ -38,6 +38,7 @@
 
   Scenario: A client waits for a service that cannot serve it before its deadline
     Then an opening packet that would wait beyond the timeout of its route is reset
+    But a later copy of it is dropped, because the flow may be open by then
 
   Scenario: A waiting packet follows a state that is no longer in force
     Then a waiting packet whose route was removed is reset
--- a/tests/features/steps/forwarding_admission_steps.py
+++ b/tests/features/steps/forwarding_admission_steps.py
@@ -269,6 +269,13 @@
     assert forwarder.admission.waiting == 3
 
 
+@then('a later copy of it is dropped, because the flow may be open by then')
+def step_hopeless_copy(context):
+    forwarder = limited_forwarder(waiting=3, max_waiting=3)
+    assert not rig.handle(forwarder, rig.opening(2000, copy=1), 1)
+    assert forwarder.admission.waiting == 3
+
+
 @then('a waiting packet whose route was removed is reset')
 def step_route_removed(context):
     forwarder = limited_forwarder()
