--- a/src/cardamomtiller/forwarding/admission/control.py
+++ b/src/cardamomtiller/forwarding/admission/control.py
@@ -86,6 +86,7 @@
         loads: LoadTable,
         reachability: Reachability,
         options: AdmissionOptions,
+        start_window: StartWindow,
     ) -> None:
         """Initialise without waiting packets, and with an unknown fleet."""
         self._directory = directory
@@ -93,7 +94,7 @@
         self._reachability = reachability
         self._options = options
         self._queues: dict[ServiceName, WaitQueue] = {}
-        self.start_window = StartWindow(options.limit)
+        self._start_window = start_window
         # Number of packets that were dropped because their clients no longer wait.
         self.abandoned = 0
         # Number of instances, None until the announcements of the others have arrived.
@@ -188,7 +189,7 @@
         slots = self._directory.slots(service)
         capacity = slots * self._options.limit.requests_per_slot
         if self.instances is None:
-            share = min(capacity, self.start_window.size)
+            share = min(capacity, self._start_window.size)
         else:
             share = capacity / self.instances
         # Half of it, because some upstreams of the pool may be unreachable.
@@ -203,7 +204,7 @@
             now_ms,
         )
         if self.instances is None:
-            return use, max(1, min(use.capacity, self.start_window.size))
+            return use, max(1, min(use.capacity, self._start_window.size))
         return use, instance_limit(use, self.instances)
 
     def _expected_latency_ms(self, service: ServiceName, now_ms: float) -> float:
--- a/src/cardamomtiller/forwarding/admission/waitqueue.py
+++ b/src/cardamomtiller/forwarding/admission/waitqueue.py
@@ -139,24 +139,16 @@
         if not self._waiting:
             return None
         self._releases += 1
-        timely = [
-            opening
-            for opening in self._waiting.values()
-            if opening.can_be_in_time(latency_ms, now_ms)
-        ]
+        timely: list[WaitingOpening] = []
+        late: list[WaitingOpening] = []
+        for opening in self._waiting.values():
+            can_be_in_time = opening.can_be_in_time(latency_ms, now_ms)
+            (timely if can_be_in_time else late).append(opening)
         is_late_turn = self._releases % self._options.late_turn_interval == 0
-        if timely and (not is_late_turn or len(timely) == len(self._waiting)):
-            selected = min(timely, key=_newest_first)
+        if late and (is_late_turn or not timely):
+            selected = min(late, key=_oldest_first)
         else:
-            timely_flows = {opening.packet.flow for opening in timely}
-            selected = min(
-                (
-                    opening
-                    for opening in self._waiting.values()
-                    if opening.packet.flow not in timely_flows
-                ),
-                key=_oldest_first,
-            )
+            selected = min(timely, key=_newest_first)
         return self._waiting.pop(selected.packet.flow)
 
     def pop_all(self) -> Iterator[WaitingOpening]:
--- a/src/cardamomtiller/forwarding/fleet/exchange.py
+++ b/src/cardamomtiller/forwarding/fleet/exchange.py
@@ -3,15 +3,14 @@
 import socket
 from typing import NamedTuple
 
-from cardamomtiller.forwarding.fleet.loadsharing import (
+from cardamomtiller.forwarding.fleet.loadreport import (
     LoadReport,
-    LoadSharing,
     ReportError,
-    SharingOptions,
     decode_report,
     encode_report,
     is_report,
 )
+from cardamomtiller.forwarding.fleet.loadsharing import LoadSharing, SharingOptions
 from cardamomtiller.forwarding.fleet.membertable import (
     AnnouncementError,
     FleetOptions,
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.admission.control import Admission, Verdict
+from cardamomtiller.forwarding.admission.limit import StartWindow
 from cardamomtiller.forwarding.admission.waitqueue import WaitingOpening
 from cardamomtiller.forwarding.observation.flows import Flow
 from cardamomtiller.forwarding.observation.unknowntokens import UnknownTokens
@@ -77,14 +78,15 @@
             options.missing_entry_grace_ms,
             options.departed_retention_ms,
         )
-        self.observer = Observer(self.directory, options, self._reporter)
+        start_window = StartWindow(options.admission.limit)
+        self.observer = Observer(self.directory, options, self._reporter, start_window)
         self.admission = Admission(
             self.directory,
             self.observer.loads,
             self.observer.reachability,
             options.admission,
+            start_window,
         )
-        self.observer.start_window = self.admission.start_window
         # Time for which the record source has confirmed the replica without a gap.
         self.steady_for_ms: float = 0
 
@@ -93,6 +95,7 @@
         previous = self.configuration.version
         if configuration.version > previous:
             self.configuration = configuration
+            self.observer.retain_routes(configuration.routes)
             self._reporter.configuration_applied(configuration, previous, now_ms)
         elif configuration.version < previous:
             self._reporter.configuration_ignored(configuration, previous, now_ms)
--- a/src/cardamomtiller/forwarding/routing/observing.py
+++ b/src/cardamomtiller/forwarding/routing/observing.py
@@ -1,6 +1,6 @@
 """Tracking of flows, upstream load and unresponsive upstreams by client packets."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from math import exp
 
 from cardamomtiller.forwarding.admission.limit import StartWindow
@@ -15,7 +15,7 @@
     PathState,
     Reachability,
 )
-from cardamomtiller.forwarding.packet import FlowKey, Packet
+from cardamomtiller.forwarding.packet import FlowKey, Packet, RouteAddress
 from cardamomtiller.forwarding.published.upstreams import Upstream, UpstreamDirectory
 from cardamomtiller.forwarding.routing.options import ForwardingOptions
 from cardamomtiller.forwarding.telemetry.reporting import Reporter
@@ -35,6 +35,7 @@
         directory: UpstreamDirectory,
         options: ForwardingOptions,
         reporter: Reporter,
+        start_window: StartWindow,
     ) -> None:
         """Initialise with an empty flow table."""
         self._directory = directory
@@ -44,8 +45,8 @@
         self.loads = LoadTable()
         self.reachability = Reachability(options.reachability)
         self._newly_unreachable: list[Upstream] = []
-        self.start_window: StartWindow | None = None
-        self.answer_sizes = AnswerSizes(options.outcomes)
+        self._start_window = start_window
+        self._answer_sizes = AnswerSizes(options.outcomes)
         self._outcomes_updated_ms: float = 0
 
     def handle_repeated_open(self, packet: Packet, now_ms: float) -> UpstreamId | None:
@@ -66,6 +67,10 @@
         self._reporter.meters.count('opens_repeated')
         return flow.upstream.entry.upstream
 
+    def retain_routes(self, routes: Iterable[RouteAddress]) -> None:
+        """Forget the answer sizes of all routes except the given ones."""
+        self._answer_sizes.retain(routes)
+
     def has_flow(self, key: FlowKey) -> bool:
         """Return whether a flow is in the table."""
         return self._flows.find(key) is not None
@@ -203,7 +208,7 @@
     def _record_answer_size(self, flow: Flow) -> None:
         answer_bytes = flow.take_answer_bytes()
         if answer_bytes:
-            is_short = self.answer_sizes.is_short(flow.key.route, answer_bytes)
+            is_short = self._answer_sizes.is_short(flow.key.route, answer_bytes)
             load = self.loads.get_or_create(flow.upstream.token)
             load.record_answer_size(is_short)
 
@@ -223,8 +228,8 @@
 
     def _record_latency(self, flow: Flow, latency_ms: float) -> None:
         self._reporter.meters.observe('request_ms', latency_ms)
-        if self.start_window is not None and flow.target_latency_ms is not None:
-            self.start_window.record_answer(latency_ms, flow.target_latency_ms)
+        if flow.target_latency_ms is not None:
+            self._start_window.record_answer(latency_ms, flow.target_latency_ms)
 
     def _handle_retransmission(self, flow: Flow, now_ms: float) -> None:
         load = self.loads.get_or_create(flow.upstream.token)
--- a/tests/features/forwarding_outcomes.feature
+++ b/tests/features/forwarding_outcomes.feature
@@ -7,6 +7,7 @@
 
   Scenario: The size of an answer is taken from the wrong flow
     Then the answers of a flow are counted by size, also several on one flow
+    And the sizes of a route are forgotten when the route is removed
     And a flow that was opened through another instance does not count
 
   Scenario: Each instance sees too few answers of an upstream
--- a/tests/features/steps/forwarding_fleet_steps.py
+++ b/tests/features/steps/forwarding_fleet_steps.py
@@ -7,17 +7,16 @@
 
 from behave import then
 
-from cardamomtiller.forwarding.fleet.loadsharing import (
-    DEFAULT_SHARING,
+from cardamomtiller.forwarding.fleet.loadreport import (
     SCALE,
     LoadReport,
     LoadRow,
-    LoadSharing,
     ReportError,
     ReportKind,
     decode_report,
     encode_report,
 )
+from cardamomtiller.forwarding.fleet.loadsharing import DEFAULT_SHARING, LoadSharing
 from cardamomtiller.forwarding.fleet.membertable import (
     DEFAULT_FLEET,
     SEED_ANNOUNCEMENT_INTERVAL,
--- a/tests/features/steps/forwarding_outcomes_steps.py
+++ b/tests/features/steps/forwarding_outcomes_steps.py
@@ -4,16 +4,19 @@
 
 from behave import then
 
-from cardamomtiller.forwarding.fleet.loadsharing import (
-    DEFAULT_SHARING,
+from cardamomtiller.forwarding.fleet.loadreport import (
     LoadReport,
     LoadRow,
-    LoadSharing,
     ReportKind,
     decode_report,
     encode_report,
 )
+from cardamomtiller.forwarding.fleet.loadsharing import DEFAULT_SHARING, LoadSharing
 from cardamomtiller.forwarding.member import Member
+from cardamomtiller.forwarding.observation.outcomes import (
+    DEFAULT_OUTCOMES,
+    AnswerSizes,
+)
 from tests import forwarding_rig as rig
 
 USUAL_BYTES = 1000
@@ -97,6 +100,15 @@
     assert (load.answers, load.short_answers) == (3, 1)
 
 
+@then('the sizes of a route are forgotten when the route is removed')
+def step_removed_route(context):
+    sizes = AnswerSizes(DEFAULT_OUTCOMES)
+    assert not sizes.is_short(1, USUAL_BYTES)
+    assert sizes.is_short(1, SHORT_BYTES)
+    sizes.retain([2])
+    assert not sizes.is_short(1, SHORT_BYTES)
+
+
 @then('a flow that was opened through another instance does not count')
 def step_moved_flow(context):
     forwarder = rig.make_forwarder(('u-1',))
--- a/tools/forwarding_replay.py
+++ b/tools/forwarding_replay.py
@@ -21,10 +21,7 @@
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
 
-from cardamomtiller.forwarding.fleet.loadsharing import (
-    DEFAULT_SHARING,
-    LoadSharing,
-)
+from cardamomtiller.forwarding.fleet.loadsharing import DEFAULT_SHARING, LoadSharing
 from cardamomtiller.forwarding.member import Member
 from cardamomtiller.forwarding.placement.selection import Choice
 from cardamomtiller.forwarding.routing.forwarder import Forwarder, hash_flow
