Keep a process and its replica going after an unexpected error

Change: each step of the loop and each part of the periodic work is guarded by itself; an error for one record is reported with the record and the batch goes on; if a batch is lost all the same, the follower reads the complete list. Ruled out: a guard around the whole tick only, since a part that always fails would then keep the parts after it from running.

--- a/src/cardamomtiller/forwarding/process.py
+++ b/src/cardamomtiller/forwarding/process.py
@@ -4,7 +4,7 @@
 import select
 import signal
 import time
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from enum import Enum
 from types import FrameType
 from typing import TYPE_CHECKING, NamedTuple
@@ -151,7 +151,7 @@
             'process_started', monotonic_ms(), phase=self._phase.value
         )
         self._poller.register(self._wake_reader, select.EPOLLIN)
-        self._poll_once()
+        self._guard(self._poll_once)
         self._open_endpoints(settings.endpoint_options())
         self._forward_until_stopped()
         self._log.write_milestone('process_stopped', monotonic_ms())
@@ -164,25 +164,32 @@
     def _forward_until_stopped(self) -> None:
         next_tick_ms: float = 0
         while not self._is_stopped(monotonic_ms()):
-            try:
-                self._poll_once()
-                self._release_waiting(monotonic_ms())
-            except Exception as error:
-                # An input that raises an unexpected error must not end the process,
-                # which would interrupt all flows.
-                self._log_defect(error)
+            self._guard(self._poll_once)
+            self._guard(self._release_waiting)
             now_ms = monotonic_ms()
             if now_ms >= next_tick_ms:
                 next_tick_ms = now_ms + self._options.tick_interval_ms
-                self._tick(now_ms)
-        now_ms = monotonic_ms()
-        self._send(self._forwarder.release_all_waiting(now_ms), now_ms)
+                self._tick()
+        self._guard(self._release_all_waiting)
         self._follower.stop()
 
-    def _release_waiting(self, now_ms: float) -> None:
+    def _guard(self, step: Callable[[], None]) -> None:
+        """Run a step of the loop; an unexpected error ends only this step."""
+        try:
+            step()
+        except Exception as error:
+            # The end of the process would interrupt all flows.
+            self._log_defect(error)
+
+    def _release_waiting(self) -> None:
         if self._forwarder.admission.waiting:
+            now_ms = monotonic_ms()
             self._send(self._forwarder.release_waiting(now_ms), now_ms)
 
+    def _release_all_waiting(self) -> None:
+        now_ms = monotonic_ms()
+        self._send(self._forwarder.release_all_waiting(now_ms), now_ms)
+
     def _log_defect(self, error: Exception) -> None:
         import traceback
 
@@ -294,6 +301,9 @@
             self._endpoints.record_peer_contact(result.host, now_ms)
         if not self._replica.apply(result.batch, result.confirmed_ms, now_ms):
             self._meters.count('readings_outdated')
+            if self._replica.has_gap(result.batch):
+                # The changes in between were lost with an error.
+                self._follower.request_list()
         if self._phase is Phase.STARTING and self._replica.is_usable:
             self._start_serving(now_ms)
 
@@ -347,20 +357,44 @@
         # which takes long.
         self._forward_packets()
 
-    def _tick(self, now_ms: float) -> None:
+    def _tick(self) -> None:
+        """Do the periodic work; an error in one part does not keep the others back."""
+        for step in (
+            self._sweep,
+            self._run_due_probes,
+            self._serve_endpoints,
+            self._reload_if_due,
+            self._update_gauges,
+        ):
+            self._guard(step)
+        self._log.flush()
+
+    def _sweep(self) -> None:
+        now_ms = monotonic_ms()
         self._forwarder.steady_for_ms = self._replica.steady_for_ms(now_ms)
         self._forwarder.sweep(now_ms)
-        self._run_probes(now_ms)
-        if self._endpoints is not None:
-            self._follower.peers = self._endpoints.tick(now_ms)
-            self._forwarder.admission.instances = self._endpoints.fleet_size(now_ms)
+
+    def _run_due_probes(self) -> None:
+        self._run_probes(monotonic_ms())
+
+    def _serve_endpoints(self) -> None:
+        if self._endpoints is None:
+            return
+        now_ms = monotonic_ms()
+        self._follower.peers = self._endpoints.tick(now_ms)
+        self._forwarder.admission.instances = self._endpoints.fleet_size(now_ms)
+
+    def _reload_if_due(self) -> None:
+        now_ms = monotonic_ms()
         if self._settings_watch.is_reload_due(now_ms):
             self._reload(now_ms)
-        self._meters.set_gauge('replica_age_ms', self._replica.age_ms(now_ms))
-        self._meters.set_gauge('opens_abandoned', self._forwarder.admission.abandoned)
-        self._meters.set_gauge('opens_waiting', self._forwarder.admission.waiting)
+
+    def _update_gauges(self) -> None:
+        admission = self._forwarder.admission
+        self._meters.set_gauge('replica_age_ms', self._replica.age_ms(monotonic_ms()))
+        self._meters.set_gauge('opens_abandoned', admission.abandoned)
+        self._meters.set_gauge('opens_waiting', admission.waiting)
         self._meters.set_gauge('log_lines_suppressed', self._log.suppressed)
-        self._log.flush()
 
     def _reload(self, now_ms: float) -> None:
         """Read the settings again; keep the current ones if that fails."""
--- a/src/cardamomtiller/forwarding/replication/following.py
+++ b/src/cardamomtiller/forwarding/replication/following.py
@@ -99,6 +99,7 @@
         self._peer: PeerConnection | None = None
         self._stopped = threading.Event()
         self._next_retry_ms = options.initial_retry_ms
+        self._is_list_requested = False
         self.peers: tuple[Member, ...] = ()
         self.source_calls = 0
         self.peer_calls = 0
@@ -111,6 +112,10 @@
         """End the thread after the call in progress."""
         self._stopped.set()
 
+    def request_list(self) -> None:
+        """Read the complete list next, because the replica has lost changes."""
+        self._is_list_requested = True
+
     def drain_results(self) -> Iterator[ReadResult]:
         """Remove and yield the results so far, oldest first."""
         while self._results:
@@ -123,6 +128,9 @@
             self._read_once()
 
     def _read_once(self) -> None:
+        if self._is_list_requested:
+            self._is_list_requested = False
+            self._revision = NO_REVISION
         member = self._selector.select(self.peers, self._clock_ms())
         is_source = member.host == self._local_member.host
         try:
--- a/src/cardamomtiller/forwarding/replication/replica.py
+++ b/src/cardamomtiller/forwarding/replication/replica.py
@@ -110,7 +110,7 @@
             return True
         if batch.after is None:
             self._apply_complete_list(batch, now_ms)
-        elif batch.after > self.revision:
+        elif self.has_gap(batch):
             return False
         else:
             self._apply_changes(batch, now_ms)
@@ -139,6 +139,10 @@
         ordered = sorted(newer, key=lambda record: record.revision)
         return Batch(after, self.revision, tuple(ordered))
 
+    def has_gap(self, batch: Batch) -> bool:
+        """Return whether changes between the replica and a batch are missing."""
+        return batch.after is not None and batch.after > self.revision
+
     @property
     def _has_routes(self) -> bool:
         return bool(self._forwarder.configuration.routes)
@@ -196,7 +200,17 @@
         self._apply_change(record, now_ms)
 
     def _apply_change(self, record: Record, now_ms: float) -> None:
-        change = self._decode(record)
+        try:
+            self._apply_decoded(record, self._decoder.decode(record), now_ms)
+        except Exception as error:
+            # An error here would skip the records that follow, and the changes after
+            # them would be refused as incomplete.
+            malformed = MalformedRecord(None, f'unexpected error: {error!r:.200}')
+            self._report_malformed(record, malformed, now_ms)
+
+    def _apply_decoded(
+        self, record: Record, change: DecodedRecord | None, now_ms: float
+    ) -> None:
         if isinstance(change, Configuration):
             self._forwarder.apply_configuration(change, now_ms)
         elif isinstance(change, UpstreamEntry):
@@ -206,14 +220,6 @@
         elif isinstance(change, MalformedRecord):
             self._report_malformed(record, change, now_ms)
 
-    def _decode(self, record: Record) -> DecodedRecord | None:
-        try:
-            return self._decoder.decode(record)
-        except Exception as error:
-            # An error here would skip the records that follow, and the changes after
-            # them would be refused as incomplete.
-            return MalformedRecord(None, f'unexpected error: {error!r:.200}')
-
     def _report_malformed(
         self,
         record: Record,
