--- a/src/cardamomtiller/forwarding/routing/options.py
+++ b/src/cardamomtiller/forwarding/routing/options.py
@@ -86,6 +86,7 @@
     wait=WaitOptions(
         max_waiting=500,
         max_age_ms=1000,
+        # Clients send the copies at these ages, and give up at 1400 ms.
         copy_ages_ms=(0, 200, 600),
         copy_delay_ms=100,
         late_turn_interval=16,
