Move the case of the late configuration to the last place

The case of two ids with one CRC-32, which stood there, is removed: the chance is one in 2**32 for a pair of ids, and a case from the open issues takes the place.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,58 +1,66 @@
-"""A backend is added whose id has the same CRC-32 as that of a backend in use."""
+"""The store turns three machines of a zone away while a route is added."""
 
 import sys
 import time
 import traceback
-import zlib
 from pathlib import Path
 
 from world import BOUNDS, ZONES, World, has_trouble
 
-ROUTES = {8443: 'counter-desk', 8444: 'scan-intake'}
-IN_USE, ADDED, ADDED_OTHERWISE = 'i-cfef23c3', 'i-512cedf1', 'i-512cedf2'
-LONG_FLOWS = 42
+ZONE = 'hcm-binhthanh'
+# 3 of 9 machines, a share of 0.33.
+TURNED_AWAY = 3
+PORT, FIRST_NEW_PORT, NEW_PORT, SERVICE = 8443, 9001, 9002, 'counter-desk'
+APPLY_S = BOUNDS['config_apply_ms'] / 1000
+STABILITY_S = BOUNDS['stability_window_ms'] / 1000
+MEASURE_S = 3.0
+# All machines have the first route by then.
+BETWEEN_CHANGES_S = 0.02
 
 
 def main():
     """Play the case and return the exit status."""
-    if zlib.crc32(IN_USE.encode()) != zlib.crc32(ADDED.encode()):
-        return 2
     world = World(Path(__file__).parent / 'record.txt')
     try:
-        names = [IN_USE, *(f'i-7f3a91{number:02x}' for number in range(16, 22))]
-        for index, name in enumerate(names):
-            world.backend(name, 'counter-desk', list(ZONES)[index % len(ZONES)])
-        for number, zone in enumerate(ZONES):
-            world.backend(f'i-5be0c2{number + 16:02x}', 'scan-intake', zone)
-        world.publish(7, ROUTES)
+        for index, zone in enumerate([*ZONES, *ZONES, 'hcm-quan5']):
+            world.backend(f'i-7f3a91{index + 16:02x}', SERVICE, zone)
+        routes = {PORT: SERVICE}
+        world.publish(7, routes)
         world.start_instances()
-        time.sleep(BOUNDS['stability_window_ms'] / 1000)
-        zones = list(ZONES)
-        flows = [world.open_flow(zones[i % len(zones)], 8443) for i in range(LONG_FLOWS)]
-        time.sleep(0.5)
-        first = [world.ask(flow) for flow in flows]
+        time.sleep(3 * STABILITY_S)
+        hosts = [host for host in sorted(world.instances) if world.instances[host] == ZONE]
+        away, judged = hosts[:TURNED_AWAY], hosts[TURNED_AWAY:]
+        routes[FIRST_NEW_PORT] = SERVICE
+        world.publish(9, routes)
+        time.sleep(BETWEEN_CHANGES_S)
+        if has_trouble():
+            world.store.turn_away([world.store_addresses[host] for host in away])
+            world.record.write('store_turns_away', instances=away)
+        routes[NEW_PORT] = SERVICE
+        acknowledged_s = world.publish(12, routes)
+        time.sleep(APPLY_S)
+        requests = []
+        while time.monotonic() < acknowledged_s + APPLY_S + MEASURE_S:
+            for node in judged:
+                requests.append((node, world.send_request(ZONE, NEW_PORT, node=node)))
+            time.sleep(0.02)
         time.sleep(1.5)
-        # TROUBLE=0 adds a backend too, with an id of another CRC-32.
-        world.backend(ADDED if has_trouble() else ADDED_OTHERWISE, 'scan-intake', 'hcm-quan5')
-        world.record.write('backend_added')
-        time.sleep(BOUNDS['stability_window_ms'] / 1000 + 1)
-        second = [world.ask(flow, 4) for flow in flows]
-        time.sleep(5)
         world.require_running()
-        misled = 0
-        for flow in flows:
-            own, opened_s = world.open_at[flow.key]
-            others = [name for at_s, name in world.arrivals[flow.key] if name != own.name]
-            misled += bool(others)
-        served = [sum(r.outcome == 'served' for r in rows) for rows in (first, second)]
-        foreign = sum(r.outcome == 'reset by backend' for r in second)
-        print(f'requests on {LONG_FLOWS} long flows served before: {served[0]}')
-        print(f'served {BOUNDS["stability_window_ms"] / 1000 + 1:.0f} s after: {served[1]}')
-        print(f'open flows of which packets reached another backend: {misled}')
-        print(f'open flows that got a reset of another backend: {foreign}')
-        if served[0] < LONG_FLOWS:
+        refused = [
+            (node, request.sent_s - acknowledged_s)
+            for node, request in requests
+            if request.outcome == 'reset by system'
+            and request.sent_s > acknowledged_s + APPLY_S
+        ]
+        print(f'requests on the new route, sent {APPLY_S:.0f} s after it was acknowledged '
+              f'or later, through machines in touch: {len(requests)}')
+        print(f'refused though the route is there: {len(refused)}')
+        if refused:
+            print(f'the last of them sent {max(late for _, late in refused):.3f} s after')
+        served = sum(request.outcome == 'served' for _, request in requests)
+        if not served:
             return 2
-        return 1 if foreign else 0
+        return 1 if refused else 0
     finally:
         world.close()
 
