--- a/src/cardamomtiller/forwarding/fleet/exchange.py
+++ b/src/cardamomtiller/forwarding/fleet/exchange.py
@@ -27,6 +27,7 @@
 from cardamomtiller.forwarding.sockets.httpserver import Reply, Request
 from cardamomtiller.forwarding.telemetry.decisionlog import DecisionLog
 from cardamomtiller.forwarding.telemetry.meters import Meters
+from cardamomtiller.forwarding.valuetext import describe
 from cardamomtiller.ids import DomainName
 
 MAX_DATAGRAM_BYTES = 65_535
@@ -251,5 +252,5 @@
 def _read_ms(text: str) -> float:
     duration_ms = float(text)
     if not isfinite(duration_ms):
-        raise ValueError(f'{text!r:.99} is not a finite number')
+        raise ValueError(f'{describe(text)} is not a finite number')
     return duration_ms
--- a/src/cardamomtiller/forwarding/fleet/membertable.py
+++ b/src/cardamomtiller/forwarding/fleet/membertable.py
@@ -18,6 +18,7 @@
 import ujson
 
 from cardamomtiller.forwarding.member import READER_CANDIDATES, Member, rank
+from cardamomtiller.forwarding.valuetext import describe
 from cardamomtiller.ids import DomainName, InstanceId
 
 ItemT = TypeVar('ItemT')
@@ -124,7 +125,8 @@
     try:
         message = ujson.loads(_decompress(datagram))
         if message['version'] != MESSAGE_VERSION:
-            raise AnnouncementError(f'unsupported version {message["version"]!r}')
+            version = describe(message['version'])
+            raise AnnouncementError(f'unsupported version {version}')
         return Announcement(
             sender=_read_member(message['sender']),
             is_reply_wanted=bool(message['reply']),
@@ -337,7 +339,7 @@
 
 def _read_number(number: object) -> float:
     if not isinstance(number, (int, float)) or not isfinite(number):
-        raise AnnouncementError(f'{number!r:.99} is not a finite number')
+        raise AnnouncementError(f'{describe(number)} is not a finite number')
     return float(number)
 
 
--- a/src/cardamomtiller/forwarding/packet.py
+++ b/src/cardamomtiller/forwarding/packet.py
@@ -3,6 +3,8 @@
 from abc import ABC, abstractmethod
 from typing import NamedTuple, NewType
 
+from cardamomtiller.forwarding.valuetext import describe
+
 # Address and port of a client and of a route, each packed into one integer with the
 # address in the upper bits, because they are looked up for every packet.
 ClientAddress = NewType('ClientAddress', int)
@@ -15,6 +17,9 @@
 PORT_BITS = 16
 PORT_MASK = (1 << PORT_BITS) - 1
 BYTE_MASK = 0xFF
+OCTETS = 4
+# By their only text: others, as with a leading zero, mean something else elsewhere.
+OCTET_VALUES = {str(number): number for number in range(BYTE_MASK + 1)}
 
 
 class FlowKey(NamedTuple):
@@ -100,9 +105,6 @@
         If the text is not an IPv4 address.
     """
     octets = text.split('.')
-    if len(octets) != 4 or not all(octet.isdecimal() for octet in octets):
-        raise ValueError(f'{text!r} is not an IPv4 address')
-    numbers = [int(octet) for octet in octets]
-    if max(numbers) > BYTE_MASK:
-        raise ValueError(f'{text!r} is not an IPv4 address')
-    return int.from_bytes(bytes(numbers), 'big')
+    if len(octets) != OCTETS or not all(octet in OCTET_VALUES for octet in octets):
+        raise ValueError(f'{describe(text)} is not an IPv4 address')
+    return int.from_bytes(bytes(OCTET_VALUES[octet] for octet in octets), 'big')
--- a/src/cardamomtiller/forwarding/published/records.py
+++ b/src/cardamomtiller/forwarding/published/records.py
@@ -12,6 +12,8 @@
 Epoch = NewType('Epoch', int)
 
 NO_EPOCH = Epoch(0)
+# Key of a record that was published without one.
+NO_KEY = RecordKey('')
 
 
 class Revision(NamedTuple):
@@ -169,3 +171,7 @@
     @abstractmethod
     def decode(self, record: Record) -> DecodedRecord | None:
         """Return the decoded record, or None if forwarding does not use it."""
+
+    @abstractmethod
+    def upstream_of(self, key: RecordKey) -> UpstreamId | None:
+        """Return the upstream whose entry has a key, None for a key of another kind."""
--- a/src/cardamomtiller/forwarding/replication/peersource.py
+++ b/src/cardamomtiller/forwarding/replication/peersource.py
@@ -15,10 +15,19 @@
 )
 from cardamomtiller.forwarding.published.upstreams import SocketAddress
 from cardamomtiller.forwarding.sockets.httpclient import HttpConnection, Timeouts
+from cardamomtiller.forwarding.valuetext import describe
 
 CHANGES_PATH = '/changes'
 RETAINED_PATH = '/retained'
 HTTP_OK = 200
+MALFORMED_ERRORS = (
+    zlib.error,
+    AttributeError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 COMPRESSION_LEVEL = 1
 
 
@@ -98,7 +107,7 @@
         return PeerReply(
             batch, _read_ms(message['age_ms']), _read_ms(message['waited_ms'])
         )
-    except (zlib.error, AttributeError, KeyError, TypeError, ValueError) as error:
+    except MALFORMED_ERRORS as error:
         raise SourceError(f'malformed peer reply: {error!r}') from error
 
 
@@ -152,9 +161,12 @@
 
 
 def _read_ms(number: object) -> float:
-    if not isinstance(number, (int, float)) or not isfinite(number) or number < 0:
-        raise SourceError(f'not a duration: {number!r:.99}')
-    return float(number)
+    if isinstance(number, bool) or not isinstance(number, (int, float)):
+        raise SourceError(f'not a duration: {describe(number)}')
+    duration_ms = float(number)
+    if not isfinite(duration_ms) or duration_ms < 0:
+        raise SourceError(f'not a duration: {describe(number)}')
+    return duration_ms
 
 
 def _read_record(row: list[object]) -> Record:
--- a/src/cardamomtiller/forwarding/replication/replica.py
+++ b/src/cardamomtiller/forwarding/replication/replica.py
@@ -305,7 +305,8 @@
         except Exception as error:
             # An error here would skip the records that follow, and the changes after
             # them would be refused as incomplete.
-            malformed = MalformedRecord(None, f'unexpected error: {error!r:.200}')
+            upstream = self._decoder.upstream_of(record.key)
+            malformed = MalformedRecord(upstream, f'unexpected error: {error!r:.200}')
             self._report_malformed(record, malformed, now_ms)
 
     def _apply_decoded(
--- a/tests/replica_rig.py
+++ b/tests/replica_rig.py
@@ -32,6 +32,10 @@
             return MalformedRecord(UpstreamId(record.key), 'noise')
         return rig.entry(record.key, is_ready=record.content == 'ready')
 
+    def upstream_of(self, key):
+        """Return the upstream that each key names."""
+        return UpstreamId(key)
+
 
 def make_replica():
     """Return a forwarder without upstreams, and a replica that updates it."""
