Use an entry only with all of its fields

Cause: the adapter checked only the fields that forwarding needs. `version` was never read, and `born` and `sequence` had defaults, so an incomplete entry counted as one of the upstream's own. All fields are now required with their types, and the incomplete entry is reported and removes its upstream until it writes its own one again.

--- a/tests/features/forwarding_malformed.feature
+++ b/tests/features/forwarding_malformed.feature
@@ -23,3 +23,6 @@
 
   Scenario: Instances end again and again, or stop following the store, after one odd entry
     Then instances serve and follow changes while odd entries are written
+
+  Scenario: An entry that lacks a field moves a live upstream to another service
+    Then an entry without one of its fields, or with another type, changes no pool
--- a/tests/features/steps/forwarding_malformed_steps.py
+++ b/tests/features/steps/forwarding_malformed_steps.py
@@ -295,3 +295,32 @@
         assert not any(row['event'] == 'defect' for row in rows)
         reported = {row['key'] for row in rows if row['event'] == 'record_malformed'}
         assert reported == odd_keys, reported ^ odd_keys
+
+
+def service_after(odd_entry):
+    """Return the service of a live upstream after an entry of another writer."""
+    forwarder = rig.make_forwarder(())
+    log, meters = forwarder._reporter._log, forwarder._reporter.meters
+    replica = Replica(forwarder, entries.EntryDecoder(), log, meters)
+    good = Record(KEY, FIRST, json.dumps(ENTRY))
+    second = Revision(NO_EPOCH, 2)
+    odd = good._replace(revision=second, content=json.dumps(odd_entry))
+    assert replica.apply(Batch(None, FIRST, (good,)), 0, 0)
+    assert replica.apply(Batch(FIRST, second, (odd,)), 0, 0)
+    assert not forwarder.directory.pool('other'), odd_entry
+    return forwarder.directory.find('i-1').entry.service
+
+
+@then('an entry without one of its fields, or with another type, changes no pool')
+def step_incomplete_entry(context):
+    other = {**ENTRY, 'service': 'other', 'sequence': ENTRY['sequence'] + 1}
+    for name in ENTRY:
+        if name == 'service':
+            continue
+        incomplete = {key: value for key, value in other.items() if key != name}
+        assert service_after(incomplete) == ENTRY['service'], name
+        for wrong in (None, True, [], {}, 1.5, -1, ''):
+            if name == 'warmup_left_ms' and wrong in (1.5, -1):
+                continue
+            changed = {**other, name: wrong}
+            assert service_after(changed) == ENTRY['service'], (name, wrong)
--- a/tests/features/steps/forwarding_platform_steps.py
+++ b/tests/features/steps/forwarding_platform_steps.py
@@ -124,10 +124,12 @@
     assert good.frame == bytes.fromhex('000000007f3a91c2')
     assert good.address == ('10.128.0.9', 8080)
     assert good.incarnation == ENTRY['born']
-    for name in ('service', 'address', 'zone', 'slots', 'state'):
+    for name in ENTRY:
         for wrong in (None, [], {}, 'unnamed:', True, -1):
             changed = decode_entry({**ENTRY, name: wrong})
-            if name in {'service', 'zone'} and isinstance(wrong, str):
+            if name in {'service', 'zone', 'version'} and isinstance(wrong, str):
+                continue
+            if name == 'warmup_left_ms' and wrong == -1:
                 continue
             assert isinstance(changed, MalformedRecord), (name, wrong)
             assert changed.upstream == 'i-7f3a91c2'
