--- a/src/cardamomtiller/forwarding/admission/control.py
+++ b/src/cardamomtiller/forwarding/admission/control.py
@@ -21,7 +21,7 @@
 from cardamomtiller.forwarding.packet import Packet
 from cardamomtiller.forwarding.placement.selection import min_latency_ms
 from cardamomtiller.forwarding.published.configuration import Route
-from cardamomtiller.forwarding.published.upstreams import UpstreamDirectory
+from cardamomtiller.forwarding.published.directory import UpstreamDirectory
 from cardamomtiller.ids import ServiceName
 
 
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -25,11 +25,11 @@
     Configuration,
     Route,
 )
+from cardamomtiller.forwarding.published.directory import UpstreamDirectory
 from cardamomtiller.forwarding.published.records import DecodedRecord, Evacuation
 from cardamomtiller.forwarding.published.upstreams import (
     SocketAddress,
     Upstream,
-    UpstreamDirectory,
     UpstreamEntry,
 )
 from cardamomtiller.forwarding.routing.observing import Observer
--- a/src/cardamomtiller/forwarding/routing/observing.py
+++ b/src/cardamomtiller/forwarding/routing/observing.py
@@ -17,9 +17,9 @@
     Reachability,
 )
 from cardamomtiller.forwarding.packet import FlowKey, Packet, RouteAddress, Token
+from cardamomtiller.forwarding.published.directory import UpstreamDirectory
 from cardamomtiller.forwarding.published.upstreams import (
     Upstream,
-    UpstreamDirectory,
     UpstreamState,
 )
 from cardamomtiller.forwarding.routing.options import ForwardingOptions
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -8,8 +8,8 @@
 from cardamomtiller.forwarding.observation.flows import Flow, FlowOptions, Observation
 from cardamomtiller.forwarding.observation.reachability import PathState, ProbeResult
 from cardamomtiller.forwarding.placement.selection import sample_candidates
+from cardamomtiller.forwarding.published.directory import UpstreamDirectory
 from cardamomtiller.forwarding.published.upstreams import (
-    UpstreamDirectory,
     UpstreamState,
     token_of,
 )
--- a/tools/broken_forwarding.py
+++ b/tools/broken_forwarding.py
@@ -19,7 +19,7 @@
 
 from cardamomtiller.forwarding import endpoints
 from cardamomtiller.forwarding.process import ForwardingProcess
-from cardamomtiller.forwarding.published import upstreams
+from cardamomtiller.forwarding.published import directory, upstreams
 from cardamomtiller.forwarding.published.records import NO_EPOCH, NO_REVISION
 from cardamomtiller.forwarding.replication.following import Follower
 from cardamomtiller.forwarding.routing.forwarder import Forwarder
@@ -33,15 +33,15 @@
 
 def place_on_draining() -> None:
     """Treat draining upstreams as ready, so that they receive new flows."""
-    build_pools = upstreams.UpstreamDirectory._build_pools
+    build_pools = directory.UpstreamDirectory._build_pools
 
-    def build_with_draining(directory):  # type: ignore[no-untyped-def]
-        for upstream in directory:
+    def build_with_draining(upstream_directory):  # type: ignore[no-untyped-def]
+        for upstream in upstream_directory:
             if upstream.state is upstreams.UpstreamState.DRAINING:
                 upstream.state = upstreams.UpstreamState.READY
-        return build_pools(directory)
+        return build_pools(upstream_directory)
 
-    upstreams.UpstreamDirectory._build_pools = build_with_draining  # type: ignore[method-assign]
+    directory.UpstreamDirectory._build_pools = build_with_draining  # type: ignore[method-assign]
 
 
 def reset_living() -> None:
@@ -59,16 +59,16 @@
 def misdirect() -> None:
     """Send some packets of open flows to an upstream that their token does not name."""
     call_count = 0
-    find_by_token = upstreams.UpstreamDirectory.by_token
+    find_by_token = directory.UpstreamDirectory.by_token
 
-    def by_token(directory, token):  # type: ignore[no-untyped-def]
+    def by_token(upstream_directory, token):  # type: ignore[no-untyped-def]
         nonlocal call_count
         call_count += 1
         if call_count % MISDIRECT_EVERY:
-            return find_by_token(directory, token)
-        return next(iter(directory), None)
+            return find_by_token(upstream_directory, token)
+        return next(iter(upstream_directory), None)
 
-    upstreams.UpstreamDirectory.by_token = by_token  # type: ignore[method-assign]
+    directory.UpstreamDirectory.by_token = by_token  # type: ignore[method-assign]
 
 
 def keep_first_configuration() -> None:
