Take an upstream as ended only when its own entry is gone

Cause: a suspected upstream was declared ended without a probe, and for good, if a later entry had its address, although its own entry was published. An upstream that lives keeps its entry, so another one proves nothing. Now the own entry has to be removed. While both are published a connection is inconclusive: the upstream is probed again until it responds or its entry is removed.

The step "flows of an upstream whose address was reused are reset" asked for the reset while the own entry stood, which is what callers lost their flows by. It removes the entry first now; forwarding_proof.feature asks for no reset before that, for one after it, and for the end of the verdict when the entry returns.

--- a/src/cardamomtiller/forwarding/observation/reachability.py
+++ b/src/cardamomtiller/forwarding/observation/reachability.py
@@ -68,6 +68,7 @@
         'next_probe_ms',
         'state',
         'timeouts',
+        'was_refused',
     )
 
     def __init__(self, now_ms: float) -> None:
@@ -79,6 +80,8 @@
         # Whether the path stays unreachable whatever a probe returns.
         self.is_final = False
         self.timeouts = 0
+        # Whether nobody listened at the address when the last probes failed.
+        self.was_refused = False
 
 
 class PathChange(NamedTuple):
@@ -165,6 +168,24 @@
                 path.is_probing = True
                 yield token
 
+    def reinstate(self, token: Token) -> None:
+        """Delete the final state of an upstream that has published its entry again."""
+        path = self._paths.get(token)
+        if path is not None and path.is_final:
+            del self._paths[token]
+
+    def is_connection_inconclusive(self, token: Token) -> bool:
+        """
+        Return whether a connection says nothing if others use the address too.
+
+        The path was not reachable before it, or was only suspected, so the connection
+        may have been accepted by another process. A path that timed out may have healed.
+        """
+        path = self._paths.get(token)
+        if path is None:
+            return False
+        return path.was_refused or path.state is PathState.SUSPECTED
+
     def postpone_probe(self, token: Token, now_ms: float) -> None:
         """Probe an upstream again later, because a result says nothing about it."""
         path = self._paths.get(token)
@@ -187,6 +208,7 @@
             self._trusted_until_ms[token] = now_ms + self._options.suspicion_pause_ms
             return self._mark_reachable(token, result.value, now_ms)
         path.timeouts += 1
+        path.was_refused = result is ProbeResult.REFUSED
         if path.state is PathState.UNREACHABLE:
             path.next_probe_ms = now_ms + self._options.retry_ms
             return None
--- a/src/cardamomtiller/forwarding/published/directory.py
+++ b/src/cardamomtiller/forwarding/published/directory.py
@@ -56,9 +56,19 @@
                 yield upstream
 
     def is_superseded(self, upstream: Upstream) -> bool:
-        """Return whether a later process uses the address, so that this one ended."""
+        """
+        Return whether it is certain from the entries that an upstream has ended.
+
+        Its entry was removed, and a later process has published the address. The entry
+        of another upstream alone proves nothing: an upstream that lives keeps its own.
+        """
+        return not upstream.is_published and self.is_address_shared(upstream)
+
+    def is_address_shared(self, upstream: Upstream) -> bool:
+        """Return whether a later process has published the address of an upstream."""
         holder = self._by_address.get(upstream.entry.address, upstream)
-        return holder.entry.incarnation > upstream.entry.incarnation
+        is_later = holder.entry.incarnation > upstream.entry.incarnation
+        return holder.is_published and is_later
 
     def is_outdated(self, entry: UpstreamEntry) -> bool:
         """
@@ -106,7 +116,8 @@
             self._claim_token(upstream)
         else:
             upstream.update(entry, now_ms)
-        if not self.is_superseded(upstream):
+        holder = self._by_address.get(entry.address, upstream)
+        if holder.entry.incarnation <= entry.incarnation:
             self._by_address[entry.address] = upstream
         self._pools = None
         return upstream
--- a/src/cardamomtiller/forwarding/published/upstreams.py
+++ b/src/cardamomtiller/forwarding/published/upstreams.py
@@ -67,11 +67,15 @@
         self.token = token
         self.update(entry, now_ms)
 
+    @property
+    def is_published(self) -> bool:
+        """Whether the source has an entry of the upstream."""
+        return self.state in {UpstreamState.READY, UpstreamState.DRAINING}
+
     @property
     def was_removed_while_ready(self) -> bool:
         """Whether the entry was removed although the upstream did not drain."""
-        is_published = self.state in {UpstreamState.READY, UpstreamState.DRAINING}
-        return self.entry.is_ready and not is_published
+        return self.entry.is_ready and not self.is_published
 
     def update(self, entry: UpstreamEntry, now_ms: float) -> None:
         """Replace the entry by a newer one and set the state from it."""
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -118,6 +118,7 @@
         if current is not None and current.entry.incarnation != entry.incarnation:
             self.observer.reachability.remove(current.token)
         upstream = self.directory.put(entry, now_ms)
+        self.observer.reachability.reinstate(upstream.token)
         self._reporter.upstream_changed(upstream, 'entry', now_ms)
 
     def remove_entry(self, upstream_id: UpstreamId, now_ms: float) -> None:
--- a/src/cardamomtiller/forwarding/routing/observing.py
+++ b/src/cardamomtiller/forwarding/routing/observing.py
@@ -140,15 +140,26 @@
     ) -> None:
         """Process the result of a probe."""
         upstream = self._directory.by_token(token)
-        is_draining = upstream is not None and upstream.state is UpstreamState.DRAINING
-        if is_draining and result is ProbeResult.REFUSED:
-            # An upstream that drains stops listening before its last flows have ended.
+        if upstream is not None and self._declare_superseded(upstream, now_ms):
+            return
+        if upstream is not None and self._is_inconclusive(upstream, result):
             self.reachability.postpone_probe(token, now_ms)
             return
         change = self.reachability.handle_probe_result(token, result, now_ms)
         if change is not None:
             self.handle_reachability_change(change, now_ms)
 
+    def _is_inconclusive(self, upstream: Upstream, result: ProbeResult) -> bool:
+        """Return whether a probe does not tell whether an upstream lives."""
+        if result is ProbeResult.REFUSED:
+            # An upstream that drains stops listening before its last flows have ended.
+            return upstream.state is UpstreamState.DRAINING
+        if result is ProbeResult.CONNECTED and self._directory.is_address_shared(
+            upstream
+        ):
+            return self.reachability.is_connection_inconclusive(upstream.token)
+        return False
+
     def handle_reachability_change(self, change: PathChange, now_ms: float) -> None:
         """Process the change of an upstream to reachable or unreachable."""
         upstream = self._directory.by_token(change.token)
@@ -278,18 +289,25 @@
 
     def _suspect(self, upstream: Upstream, evidence: str, now_ms: float) -> None:
         token = upstream.token
-        if self._directory.is_superseded(upstream):
-            change = self.reachability.declare_unreachable(
-                token, 'address_reused', now_ms
-            )
-            if change is not None:
-                self.handle_reachability_change(change, now_ms)
-        elif self.reachability.suspect(token, now_ms):
+        if self._declare_superseded(upstream, now_ms):
+            return
+        if self.reachability.suspect(token, now_ms):
             last_response_ms = self.loads.get_or_create(token).last_response_ms
             self._reporter.upstream_suspected(
                 upstream, evidence, last_response_ms, now_ms
             )
 
+    def _declare_superseded(self, upstream: Upstream, now_ms: float) -> bool:
+        """Declare an upstream unreachable if it certainly ended; return whether it has."""
+        if not self._directory.is_superseded(upstream):
+            return False
+        change = self.reachability.declare_unreachable(
+            upstream.token, 'address_reused', now_ms
+        )
+        if change is not None:
+            self.handle_reachability_change(change, now_ms)
+        return True
+
     def _record_response(self, upstream: Upstream, now_ms: float) -> None:
         self.loads.get_or_create(upstream.token).record_response(now_ms)
         self.reachability.clear_suspicion(upstream.token)
--- /dev/null
+++ b/tests/features/forwarding_proof.feature
@@ -0,0 +1,11 @@
+Feature: An open flow is reset only if it is certain that its upstream has ended
+
+  Scenario: Flows of a live upstream are reset because another entry has its address
+    Then an entry with the address of a published upstream resets no flow of it
+    And the address of a published upstream is probed until the upstream responds
+    And flows are reset once the entry is removed and another upstream has the address
+    And an upstream that publishes its entry again is not taken as ended any longer
+
+  Scenario: An upstream that has ended counts as reachable because another one accepts the probe
+    Then a connection to a shared address does not clear an upstream that refused one
+    And a connection to a shared address clears an upstream whose probes timed out
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -312,6 +312,7 @@
     address = rig.entry('u-1').address
     new_entry = rig.entry('v-1', 'patterns', address=address, incarnation=2)
     forwarder.apply_entry(new_entry, 900)
+    forwarder.remove_entry(UpstreamId('u-1'), 950)
     send_unanswered_request(forwarder, 1000, token, 1000)
     (delivery,) = rig.handle(forwarder, retransmission(1000, token), 1700)
     assert rig.is_reset(delivery)
