Forget the address that an upstream has left

Cause: the directory kept one upstream for each address, also when its entry changed to another address, so an upstream counted as the later user of an address that it had left. An index now has all upstreams by the address of their latest entry.

--- a/src/cardamomtiller/forwarding/published/directory.py
+++ b/src/cardamomtiller/forwarding/published/directory.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterator
 
 from cardamomtiller.forwarding.packet import Token
+from cardamomtiller.forwarding.published.addresses import AddressIndex
 from cardamomtiller.forwarding.published.evacuations import Evacuations
 from cardamomtiller.forwarding.published.upstreams import (
-    SocketAddress,
     Upstream,
     UpstreamEntry,
     UpstreamState,
@@ -31,7 +31,7 @@
         self._evacuations = Evacuations(missing_entry_grace_ms)
         self._by_id: dict[UpstreamId, Upstream] = {}
         self._by_token: dict[Token, Upstream] = {}
-        self._by_address: dict[SocketAddress, Upstream] = {}
+        self._addresses = AddressIndex()
         # Built on first use after a change, because entries change in batches.
         self._pools: dict[ServiceName, tuple[Upstream, ...]] | None = None
         self._slots: dict[ServiceName, int] = {}
@@ -66,9 +66,8 @@
 
     def is_address_shared(self, upstream: Upstream) -> bool:
         """Return whether a later process has published the address of an upstream."""
-        holder = self._by_address.get(upstream.entry.address, upstream)
-        is_later = holder.entry.incarnation > upstream.entry.incarnation
-        return holder.is_published and is_later
+        later = self._addresses.later_than(upstream.entry)
+        return any(other.is_published for other in later)
 
     def is_outdated(self, entry: UpstreamEntry) -> bool:
         """
@@ -78,8 +77,7 @@
         it. Therefore an earlier entry of such an upstream, or one that differs in the
         sequence only, is not outdated.
         """
-        holder = self._by_address.get(entry.address)
-        if holder is not None and holder.entry.incarnation > entry.incarnation:
+        if any(self._addresses.later_than(entry)):
             return True
         current = self._by_id.get(entry.upstream)
         if current is None or current.was_removed_while_ready:
@@ -115,10 +113,9 @@
             self._by_id[entry.upstream] = upstream
             self._claim_token(upstream)
         else:
+            self._addresses.remove(upstream)
             upstream.update(entry, now_ms)
-        holder = self._by_address.get(entry.address, upstream)
-        if holder.entry.incarnation <= entry.incarnation:
-            self._by_address[entry.address] = upstream
+        self._addresses.add(upstream)
         self._pools = None
         return upstream
 
@@ -171,8 +168,7 @@
 
     def _delete(self, upstream: Upstream) -> None:
         del self._by_id[upstream.entry.upstream]
-        if self._by_address.get(upstream.entry.address) is upstream:
-            del self._by_address[upstream.entry.address]
+        self._addresses.remove(upstream)
         if self._by_token.get(upstream.token) is upstream:
             del self._by_token[upstream.token]
             for other in self._by_id.values():
--- a/tests/features/forwarding_proof.feature
+++ b/tests/features/forwarding_proof.feature
@@ -9,3 +9,7 @@
   Scenario: An upstream that has ended counts as reachable because another one accepts the probe
     Then a connection to a shared address does not clear an upstream that refused one
     And a connection to a shared address clears an upstream whose probes timed out
+
+  Scenario: Flows of a live upstream are reset because another one had its address before
+    Then an upstream that restarted at another address does not count as the user of the old one
+    And an address that an upstream takes over for a moment has its former users after it
--- a/tests/features/steps/forwarding_proof_steps.py
+++ b/tests/features/steps/forwarding_proof_steps.py
@@ -142,3 +142,44 @@
     shared.share(1800)
     shared.probe(1700 + RETRY_MS, ProbeResult.CONNECTED)
     assert not shared.send(2300)
+
+
+@then(
+    'an upstream that restarted at another address does not count as the user of the '
+    'old one'
+)
+def step_moved(context):
+    shared = SharedAddress()
+    forwarder = shared.forwarder
+    # The other one was here first, and starts again elsewhere under its id.
+    shared.share(100, incarnation=0)
+    forwarder.apply_entry(rig.entry(OTHER, 'patterns', incarnation=1), 200)
+    elsewhere = ('10.0.9.9', 8000)
+    moved = rig.entry(OTHER, 'patterns', address=elsewhere, incarnation=3)
+    shared.share(300, incarnation=2)
+    forwarder.apply_entry(moved, 400)
+    # The entry of the upstream expires, as all may while the source is away.
+    shared.remove(900)
+    shared.lose_request(1000)
+    shared.probe(1700, ProbeResult.CONNECTED)
+    for now_ms in range(1800, 6000, 100):
+        assert not shared.send(now_ms)
+    earlier = shared.entry._replace(sequence=shared.entry.sequence + 1)
+    assert not forwarder.directory.is_outdated(earlier)
+
+
+@then(
+    'an address that an upstream takes over for a moment has its former users after it'
+)
+def step_taken_over(context):
+    shared = SharedAddress()
+    directory = shared.forwarder.directory
+    shared.share(100)
+    third = rig.entry('w-1', address=shared.entry.address, incarnation=3)
+    shared.forwarder.apply_entry(third, 200)
+    moved = third._replace(address=('10.0.9.9', 8000), incarnation=4)
+    shared.forwarder.apply_entry(moved, 300)
+    shared.remove(900)
+    upstream = directory.find(UPSTREAM)
+    assert directory.is_superseded(upstream)
+    assert directory.is_outdated(shared.entry)
