Ignore the address of an entry whose service no configuration names

An entry of such a service is from a writer that knows nothing of the address, yet it counted as the later user of it. Open flows of a live upstream whose own entry had expired, as entries may while the store is away, could be reset, and its entry counted as outdated after a restore. The configuration now keeps all services that it names, and an entry counts once one of them has named its service.

--- a/src/cardamomtiller/forwarding/published/configuration.py
+++ b/src/cardamomtiller/forwarding/published/configuration.py
@@ -52,11 +52,19 @@
 
 
 class Configuration(NamedTuple):
-    """Routes of one configuration version."""
+    """
+    Routes of one configuration version.
+
+    Attributes
+    ----------
+    services
+        All services that the configuration names, also those without a route.
+    """
 
     version: Version
     routes: dict[RouteAddress, Route]
     idle_timeout_ms: float
+    services: frozenset[ServiceName] = frozenset()
 
     def precedes(self, other: 'Configuration') -> bool:
         """Return whether another configuration has a later version."""
--- a/src/cardamomtiller/forwarding/published/directory.py
+++ b/src/cardamomtiller/forwarding/published/directory.py
@@ -1,6 +1,6 @@
 """Directory of upstreams by service and token, including recently removed ones."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from cardamomtiller.forwarding.packet import Token
 from cardamomtiller.forwarding.published.addresses import AddressIndex
@@ -32,6 +32,8 @@
         self._by_id: dict[UpstreamId, Upstream] = {}
         self._by_token: dict[Token, Upstream] = {}
         self._addresses = AddressIndex()
+        # Kept beyond the configurations that named them: their upstreams may remain.
+        self._services: set[ServiceName] = set()
         # Built on first use after a change, because entries change in batches.
         self._pools: dict[ServiceName, tuple[Upstream, ...]] | None = None
         self._slots: dict[ServiceName, int] = {}
@@ -66,7 +68,7 @@
 
     def is_address_shared(self, upstream: Upstream) -> bool:
         """Return whether a later process has published the address of an upstream."""
-        later = self._addresses.later_than(upstream.entry)
+        later = self._later_users(upstream.entry)
         return any(other.is_published for other in later)
 
     def is_outdated(self, entry: UpstreamEntry) -> bool:
@@ -77,13 +79,17 @@
         it. Therefore an earlier entry of such an upstream, or one that differs in the
         sequence only, is not outdated.
         """
-        if any(self._addresses.later_than(entry)):
+        if any(self._later_users(entry)):
             return True
         current = self._by_id.get(entry.upstream)
         if current is None or current.was_removed_while_ready:
             return False
         return entry.precedes(current.entry)
 
+    def add_services(self, services: Iterable[ServiceName]) -> None:
+        """Add services that a configuration names."""
+        self._services.update(services)
+
     def pool(self, service: ServiceName) -> tuple[Upstream, ...]:
         """Return the upstreams that may get new flows of a service."""
         if self._pools is None:
@@ -159,6 +165,17 @@
             self._pools = None
         return expired
 
+    def _later_users(self, entry: UpstreamEntry) -> Iterator[Upstream]:
+        """
+        Iterate over the upstreams that later processes at an address have published.
+
+        An entry of a service that no configuration has named is not one of them: it may
+        be from a writer that knows nothing of the address.
+        """
+        for upstream in self._addresses.later_than(entry):
+            if upstream.entry.service in self._services:
+                yield upstream
+
     def _claim_token(self, upstream: Upstream) -> None:
         # Two ids may have the same token. All instances assign it to the smaller id;
         # the other upstream gets no new flows until the token is free.
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -103,6 +103,7 @@
             self._reporter.configuration_ignored(configuration, previous, now_ms)
         elif configuration != self.configuration:
             self.configuration = configuration
+            self.directory.add_services(configuration.services)
             self.observer.retain_routes(configuration.routes)
             self._reporter.configuration_applied(configuration, previous, now_ms)
 
--- a/tests/features/forwarding_proof.feature
+++ b/tests/features/forwarding_proof.feature
@@ -13,3 +13,8 @@
   Scenario: Flows of a live upstream are reset because another one had its address before
     Then an upstream that restarted at another address does not count as the user of the old one
     And an address that an upstream takes over for a moment has its former users after it
+
+  Scenario: Flows of a live upstream are reset because a foreign entry has its address
+    Then an entry of a service that no configuration names resets no flow of an expired upstream
+    And an upstream returns although a foreign entry has its address
+    And a later configuration that names the service makes the entry count
--- a/tests/features/steps/forwarding_platform_steps.py
+++ b/tests/features/steps/forwarding_platform_steps.py
@@ -164,6 +164,11 @@
     for wrong in (None, {}, 'routes', [5]):
         changed = {**CONFIGURATION, 'routes': wrong}
         assert isinstance(decode_configuration(changed), MalformedRecord)
+    for wrong in (None, {}, 'services', [5], [{}], [{'name': ''}]):
+        changed = {**CONFIGURATION, 'services': wrong}
+        assert isinstance(decode_configuration(changed), MalformedRecord)
+    named = decode_configuration({**CONFIGURATION, 'services': [{'name': 'spare'}]})
+    assert named.services == {ROUTE['service'], 'spare'}
 
 
 @then('a route with several services splits its flows by weight')
--- a/tests/features/steps/forwarding_proof_steps.py
+++ b/tests/features/steps/forwarding_proof_steps.py
@@ -28,7 +28,7 @@
 
     def share(self, now_ms, **changes):
         """Publish an entry of a later process with the same address."""
-        values = {'service': 'patterns', 'incarnation': 2, **changes}
+        values = {'service': rig.OTHER_SERVICES[0], 'incarnation': 2, **changes}
         address = self.entry.address
         self.forwarder.apply_entry(rig.entry(OTHER, address=address, **values), now_ms)
 
@@ -183,3 +183,41 @@
     upstream = directory.find(UPSTREAM)
     assert directory.is_superseded(upstream)
     assert directory.is_outdated(shared.entry)
+
+
+def share_with_foreign_entry():
+    """Return an upstream whose entry has expired while a foreign one has its address."""
+    shared = SharedAddress()
+    shared.share(900, service='unnamed')
+    shared.remove(950)
+    shared.lose_request(1000)
+    return shared
+
+
+@then(
+    'an entry of a service that no configuration names resets no flow of an expired '
+    'upstream'
+)
+def step_foreign_entry(context):
+    shared = share_with_foreign_entry()
+    shared.probe(1700, ProbeResult.CONNECTED)
+    assert shared.state is PathState.REACHABLE
+    assert not shared.send(1800)
+
+
+@then('an upstream returns although a foreign entry has its address')
+def step_foreign_return(context):
+    shared = share_with_foreign_entry()
+    assert not shared.forwarder.directory.is_outdated(shared.entry)
+
+
+@then('a later configuration that names the service makes the entry count')
+def step_named_later(context):
+    shared = share_with_foreign_entry()
+    shared.probe(1700, ProbeResult.CONNECTED)
+    configuration = rig.configuration(2)
+    named = configuration.services | {'unnamed'}
+    shared.forwarder.apply_configuration(configuration._replace(services=named), 1750)
+    assert shared.send(1800)
+    shared.forwarder.apply_configuration(rig.configuration(3), 1850)
+    assert shared.send(1900)
--- a/tests/forwarding_rig.py
+++ b/tests/forwarding_rig.py
@@ -43,6 +43,8 @@
 ROUTE_PORT = 443
 CLIENT_PORT = 8172
 FRAME_BYTES = 8
+# Services that the configurations name, but have no route to.
+OTHER_SERVICES = (ServiceName('patterns'),)
 LOCAL_DOMAIN = DomainName('a')
 # For the tests of all other decisions: they open many flows at one moment.
 UNLIMITED = DEFAULT_ADMISSION._replace(
@@ -153,7 +155,8 @@
         for port in ports
     ]
     by_address = {route.address: route for route in routes}
-    return Configuration(Version(version), by_address, 12_000)
+    services = frozenset({ServiceName(service), *OTHER_SERVICES})
+    return Configuration(Version(version), by_address, 12_000, services)
 
 
 def make_forwarder(
