Count an unknown upstream as gone only until the last confirmation

A flow of an upstream that was published after the last confirmation of the replica could be reset: a token counted as gone after 2.5 s of a steady replica, but a replica is steady for up to 4 s after its last confirmation. With a bound of 6 s it may be 4.2 s old by design.

The time for which a token is unknown, and the one for which the replica is steady, now end with the last confirmation.

Evidence: forwarding.feature, "an unknown token causes a reset only after the source confirmed it for long enough", asks for no reset while the replica is not confirmed later than the first packet, which the code before sent. forwarding_fleet.feature asked for a steady time up to the present; it now asks for it up to the last confirmation.

--- a/src/cardamomtiller/forwarding/observation/unknowntokens.py
+++ b/src/cardamomtiller/forwarding/observation/unknowntokens.py
@@ -1,18 +1,41 @@
 """Tokens without an upstream, and when their upstream counts as gone."""
 
+from math import inf
+from typing import NamedTuple
+
 from cardamomtiller.forwarding.packet import Token
 
 MAX_TOKENS = 4096
 
 
+class Steadiness(NamedTuple):
+    """
+    How long the record source has confirmed the replica without a gap.
+
+    Attributes
+    ----------
+    confirmed_ms
+        Time of the last confirmation.
+    duration_ms
+        Time between the first confirmation after the last gap and the last one; what
+        has changed since then is not known.
+    """
+
+    confirmed_ms: float
+    duration_ms: float
+
+
+NOT_STEADY = Steadiness(-inf, 0)
+
+
 class UnknownTokens:
     """
     Stores when a token without an upstream was first and last seen in a packet.
 
     The upstream of an unknown token may be newer than the replica of this instance, or
     its entry may have expired while the record source was unavailable. It counts as
-    gone only if the token has been unknown for ``gone_after_ms`` and the source has
-    confirmed the replica for all of that time.
+    gone only if the token has been unknown for ``gone_after_ms`` until the last
+    confirmation, and the source has confirmed the replica for all of that time.
     """
 
     def __init__(self, gone_after_ms: float) -> None:
@@ -21,7 +44,7 @@
         self._first_seen_ms: dict[Token, float] = {}
         self._last_seen_ms: dict[Token, float] = {}
 
-    def is_gone(self, token: Token, steady_for_ms: float, now_ms: float) -> bool:
+    def is_gone(self, token: Token, steadiness: Steadiness, now_ms: float) -> bool:
         """
         Record a packet with an unknown token and return whether its upstream is gone.
 
@@ -29,8 +52,8 @@
         ----------
         token
             Token of the packet.
-        steady_for_ms
-            Time for which the source has confirmed the replica without a gap.
+        steadiness
+            How long the source has confirmed the replica without a gap.
         now_ms
             Current time.
 
@@ -44,7 +67,8 @@
             return False
         first_seen_ms = self._first_seen_ms.setdefault(token, now_ms)
         self._last_seen_ms[token] = now_ms
-        return min(now_ms - first_seen_ms, steady_for_ms) >= self._gone_after_ms
+        unknown_for_ms = steadiness.confirmed_ms - first_seen_ms
+        return min(unknown_for_ms, steadiness.duration_ms) >= self._gone_after_ms
 
     def expire(self, now_ms: float) -> None:
         """Delete tokens that have not appeared in a packet for ten times the limit."""
--- a/src/cardamomtiller/forwarding/process.py
+++ b/src/cardamomtiller/forwarding/process.py
@@ -285,7 +285,7 @@
 
     def _sweep(self) -> None:
         now_ms = monotonic_ms()
-        self._forwarder.steady_for_ms = self._replica.steady_for_ms(now_ms)
+        self._forwarder.steadiness = self._replica.steadiness(now_ms)
         self._forwarder.sweep(now_ms)
 
     def _run_due_probes(self) -> None:
--- a/src/cardamomtiller/forwarding/replication/replica.py
+++ b/src/cardamomtiller/forwarding/replication/replica.py
@@ -2,6 +2,10 @@
 
 from collections.abc import Iterator
 
+from cardamomtiller.forwarding.observation.unknowntokens import (
+    NOT_STEADY,
+    Steadiness,
+)
 from cardamomtiller.forwarding.published.configuration import Configuration
 from cardamomtiller.forwarding.published.records import (
     NO_REVISION,
@@ -163,14 +167,16 @@
                 revision=str(batch.revision),
             )
 
-    def steady_for_ms(self, now_ms: float) -> float:
+    def steadiness(self, now_ms: float) -> Steadiness:
         """Return for how long the source has confirmed the replica without a gap."""
         if (
-            self.steady_since_ms is None
+            self.confirmed_ms is None
+            or self.steady_since_ms is None
             or self.age_ms(now_ms) > MAX_CONFIRMATION_GAP_MS
         ):
-            return 0
-        return now_ms - self.steady_since_ms
+            return NOT_STEADY
+        duration_ms = max(0, self.confirmed_ms - self.steady_since_ms)
+        return Steadiness(self.confirmed_ms, duration_ms)
 
     def changes_after(self, after: Revision) -> Batch:
         """Return the changes after a peer's revision, or else the complete list."""
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -7,7 +7,10 @@
 from cardamomtiller.forwarding.admission.limit import StartWindow
 from cardamomtiller.forwarding.admission.waitqueue import WaitingOpening
 from cardamomtiller.forwarding.observation.flows import Flow
-from cardamomtiller.forwarding.observation.unknowntokens import UnknownTokens
+from cardamomtiller.forwarding.observation.unknowntokens import (
+    NOT_STEADY,
+    UnknownTokens,
+)
 from cardamomtiller.forwarding.packet import (
     FlowKey,
     Packet,
@@ -88,8 +91,7 @@
             options.admission,
             start_window,
         )
-        # Time for which the record source has confirmed the replica without a gap.
-        self.steady_for_ms: float = 0
+        self.steadiness = NOT_STEADY
 
     def apply_configuration(self, configuration: Configuration, now_ms: float) -> None:
         """
@@ -174,7 +176,7 @@
                 continue
             reason = ResetReason.UNREACHABLE
             self._reporter.flow_reset(
-                flow.key, upstream.token, upstream, reason, self.steady_for_ms, now_ms
+                flow.key, upstream.token, upstream, reason, self.steadiness, now_ms
             )
             yield self._reset_delivery(flow.key, flow.acknowledged or 0)
 
@@ -291,7 +293,7 @@
         # Entries may expire while the record source is unavailable, and be published
         # again before the client repeats the opening packet. The flow is reset only if
         # the source has confirmed for long enough that the service has no upstream.
-        if self.steady_for_ms >= self._options.unknown_token_ms:
+        if self.steadiness.duration_ms >= self._options.unknown_token_ms:
             yield self._reset_delivery(packet.flow, packet.acknowledged)
 
     def _forward(
@@ -316,7 +318,7 @@
         self._drop(DropReason.UNKNOWN_TOKEN, packet, now_ms)
         if packet.is_reset or not packet.payload_bytes:
             return
-        if self._unknown_tokens.is_gone(packet.token, self.steady_for_ms, now_ms):
+        if self._unknown_tokens.is_gone(packet.token, self.steadiness, now_ms):
             yield self._reset_flow(packet, None, ResetReason.UPSTREAM_GONE, now_ms)
 
     def _reset_flow(
@@ -327,7 +329,7 @@
         now_ms: float,
     ) -> Delivery:
         self._reporter.flow_reset(
-            packet.flow, packet.token, upstream, reason, self.steady_for_ms, now_ms
+            packet.flow, packet.token, upstream, reason, self.steadiness, now_ms
         )
         return self._reset_delivery(packet.flow, packet.acknowledged)
 
--- a/src/cardamomtiller/forwarding/telemetry/reporting.py
+++ b/src/cardamomtiller/forwarding/telemetry/reporting.py
@@ -4,6 +4,7 @@
 
 from cardamomtiller.forwarding.admission.control import Decision, Release
 from cardamomtiller.forwarding.observation.reachability import PathChange
+from cardamomtiller.forwarding.observation.unknowntokens import Steadiness
 from cardamomtiller.forwarding.packet import FlowKey, Packet, Token, format_flow
 from cardamomtiller.forwarding.placement.selection import Choice
 from cardamomtiller.forwarding.published.configuration import Configuration, Route
@@ -219,7 +220,7 @@
         token: Token,
         upstream: Upstream | None,
         reason: ResetReason,
-        steady_for_ms: float,
+        steadiness: Steadiness,
         now_ms: float,
     ) -> None:
         """Report a flow that was reset, with the state of its upstream."""
@@ -233,7 +234,7 @@
             reason=reason.value,
             state=upstream.state.value if upstream else None,
             entry_age_ms=round(now_ms - upstream.changed_ms) if upstream else None,
-            replica_steady_ms=round(steady_for_ms),
+            replica_steady_ms=round(steadiness.duration_ms),
         )
 
 
--- a/tests/features/steps/forwarding_fleet_steps.py
+++ b/tests/features/steps/forwarding_fleet_steps.py
@@ -338,11 +338,13 @@
     apply_list(replica, ('u-1',))
     for now_ms in range(0, 5000, 500):
         replica.apply(batch_of(10, 10, ()), now_ms, now_ms)
-    assert replica.steady_for_ms(4600) == 4600
+    assert replica.steadiness(4600) == (4500, 4500)
     later_ms = 4500 + MAX_CONFIRMATION_GAP_MS + 1
-    assert replica.steady_for_ms(later_ms) == 0
+    assert replica.steadiness(later_ms).duration_ms == 0
     replica.apply(batch_of(10, 10, ()), later_ms, later_ms)
-    assert replica.steady_for_ms(later_ms + 100) == 100
+    assert replica.steadiness(later_ms + 100) == (later_ms, 0)
+    replica.apply(batch_of(10, 10, ()), later_ms + 100, later_ms + 150)
+    assert replica.steadiness(later_ms + 200) == (later_ms + 100, 100)
 
 
 @then('a malformed record removes its upstream and leaves the others')
--- a/tests/features/steps/forwarding_restore_steps.py
+++ b/tests/features/steps/forwarding_restore_steps.py
@@ -300,15 +300,15 @@
     for _ in range(10):
         instance.now_ms += 1000
         instance.read(1)
-    assert instance.replica.steady_for_ms(instance.now_ms) >= 9000
+    assert instance.replica.steadiness(instance.now_ms).duration_ms >= 9000
     world.store.restore(copy)
     world.write_entry('i-2')
     instance.read()
-    assert instance.replica.steady_for_ms(instance.now_ms) == 0
+    assert instance.replica.steadiness(instance.now_ms).duration_ms == 0
     # An unknown token may belong to an upstream that has not written again yet.
     instance.now_ms += DEFAULT_FORWARDING.unknown_token_ms - 1
     instance.read(1)
-    age_ms = instance.replica.steady_for_ms(instance.now_ms)
+    age_ms = instance.replica.steadiness(instance.now_ms).duration_ms
     assert age_ms < DEFAULT_FORWARDING.unknown_token_ms
 
 
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -7,6 +7,7 @@
 
 from cardamomtiller.forwarding.observation.flows import Flow, FlowOptions, Observation
 from cardamomtiller.forwarding.observation.reachability import PathState, ProbeResult
+from cardamomtiller.forwarding.observation.unknowntokens import Steadiness
 from cardamomtiller.forwarding.placement.selection import sample_candidates
 from cardamomtiller.forwarding.published.directory import UpstreamDirectory
 from cardamomtiller.forwarding.published.upstreams import (
@@ -283,13 +284,16 @@
     needed_ms = DEFAULT_FORWARDING.unknown_token_ms
     forwarder = rig.make_forwarder()
     datagram = retransmission(1000, 12345)
-    forwarder.steady_for_ms = 10 * needed_ms
+    forwarder.steadiness = Steadiness(0, 10 * needed_ms)
     assert not rig.handle(forwarder, datagram, 0)
+    forwarder.steadiness = Steadiness(needed_ms - 1, 10 * needed_ms)
     assert not rig.handle(forwarder, datagram, needed_ms - 1)
-    forwarder.steady_for_ms = needed_ms - 1
-    assert not rig.handle(forwarder, datagram, needed_ms + 1)
-    forwarder.steady_for_ms = needed_ms
-    (delivery,) = rig.handle(forwarder, datagram, needed_ms + 2)
+    # The replica may lack an upstream that was published after its last confirmation.
+    assert not rig.handle(forwarder, datagram, 2 * needed_ms)
+    forwarder.steadiness = Steadiness(2 * needed_ms, needed_ms - 1)
+    assert not rig.handle(forwarder, datagram, 2 * needed_ms)
+    forwarder.steadiness = Steadiness(needed_ms, needed_ms)
+    (delivery,) = rig.handle(forwarder, datagram, 2 * needed_ms + 1)
     assert rig.is_reset(delivery)
 
 
