Serve with the records of a stale replica if there are no others

Cause: the age of a peer's replica decided not only whether to read from it again, but also whether to use what it had sent. With the store away every replica is too old. What a stale replica has and the own one lacks is now used with its true age. An instance without records, a store and peers asks members of other failure domains.

--- a/src/cardamomtiller/forwarding/endpoints.py
+++ b/src/cardamomtiller/forwarding/endpoints.py
@@ -112,6 +112,10 @@
         self.answer_pending(now_ms)
         return self._exchange.member_table.peers()
 
+    def remote_members(self) -> tuple[Member, ...]:
+        """Return the known members of other failure domains."""
+        return self._exchange.member_table.remote_members()
+
     def fleet_size(self, now_ms: float) -> int | None:
         """Return the number of instances, None while they are still unknown."""
         return self._exchange.fleet_size(now_ms)
--- a/src/cardamomtiller/forwarding/fleet/membertable.py
+++ b/src/cardamomtiller/forwarding/fleet/membertable.py
@@ -173,6 +173,13 @@
             member for member in members if member.domain == self.local_member.domain
         )
 
+    def remote_members(self) -> tuple[Member, ...]:
+        """Return the known members of other failure domains."""
+        members = tuple(self._members.values())
+        return tuple(
+            member for member in members if member.domain != self.local_member.domain
+        )
+
     def fleet_size(self) -> int:
         """
         Return the estimated number of instances, including this one.
--- a/src/cardamomtiller/forwarding/process.py
+++ b/src/cardamomtiller/forwarding/process.py
@@ -296,6 +296,7 @@
             return
         now_ms = monotonic_ms()
         self._follower.peers = self._endpoints.tick(now_ms)
+        self._follower.remote_members = self._endpoints.remote_members()
         self._forwarder.admission.instances = self._endpoints.fleet_size(now_ms)
 
     def _reload_if_due(self) -> None:
--- a/src/cardamomtiller/forwarding/replication/following.py
+++ b/src/cardamomtiller/forwarding/replication/following.py
@@ -78,8 +78,13 @@
     """
     Reads records from the published source or from a peer, in a separate thread.
 
-    The packet loop sets ``peers`` and collects the results with ``drain_results``;
-    ``wake`` is called after each result.
+    The packet loop sets ``peers`` and ``remote_members`` and collects the results with
+    ``drain_results``; ``wake`` is called after each result.
+
+    Attributes
+    ----------
+    peers, remote_members
+        The other members of this failure domain, and members of others.
     """
 
     def __init__(
@@ -108,6 +113,7 @@
         self._is_list_requested = False
         self._consultation = Consultation()
         self.peers: tuple[Member, ...] = ()
+        self.remote_members: tuple[Member, ...] = ()
         self.source_calls = 0
         self.peer_calls = 0
 
@@ -144,7 +150,7 @@
             self._is_list_requested = False
             self._revision = NO_REVISION
         now_ms = self._clock_ms()
-        choice = self._selector.select(self.peers, self._age_ms(now_ms), now_ms)
+        choice = self._select(now_ms)
         if choice is None:
             self._pause(self._selector.retry_in_ms(now_ms))
             return
@@ -166,6 +172,12 @@
             if result.batch is not None and result.batch.records:
                 self._pause(self._options.change_pause_ms)
 
+    def _select(self, now_ms: float) -> Choice | None:
+        choice = self._selector.select(self.peers, self._age_ms(now_ms), now_ms)
+        if choice is None and self._revision == NO_REVISION:
+            return self._selector.select_any(self.remote_members, now_ms)
+        return choice
+
     def _age_ms(self, now_ms: float) -> float:
         """Return the time since the last confirmation; infinite if there was none."""
         return inf if self._confirmed_ms is None else now_ms - self._confirmed_ms
@@ -256,14 +268,23 @@
         peer = self._connect(choice.member)
         sent_ms = self._clock_ms()
         reply = peer.read(self._changes_request(choice, sent_ms))
-        if self._selector.is_stale(reply.age_ms):
-            raise SourceError(f'replica of {host} is {reply.age_ms:.0f} ms old')
         if reply.batch.revision < self._revision:
             raise SourceError(f'replica of {host} is behind: {reply.batch.revision}')
-        self._revision = reply.batch.revision
         # The reply may have been delayed on its way, but was sent after the wait.
         confirmed_ms = min(self._clock_ms(), sent_ms + reply.waited_ms) - reply.age_ms
-        return ReadResult(reply.batch, None, host, False, confirmed_ms)
+        result = ReadResult(reply.batch, None, host, False, confirmed_ms)
+        if self._selector.is_stale(reply.age_ms):
+            self._use_stale(result, reply.batch)
+            raise SourceError(f'replica of {host} is {reply.age_ms:.0f} ms old')
+        self._revision = reply.batch.revision
+        return result
+
+    def _use_stale(self, result: ReadResult, batch: Batch) -> None:
+        """Publish what a stale replica has and this one lacks; it may be all there is."""
+        if batch.revision > self._revision:
+            self._revision = batch.revision
+            self._confirm(result.confirmed_ms)
+            self._publish(result)
 
     def _changes_request(self, choice: Choice, now_ms: float) -> ChangesRequest:
         reply_ms = self._options.peer_reply_ms
--- a/src/cardamomtiller/forwarding/replication/sources.py
+++ b/src/cardamomtiller/forwarding/replication/sources.py
@@ -139,7 +139,7 @@
             for member, end_age_ms in zip(
                 ranked, self._options.end_ages_ms, strict=False
             )
-            if self._backoff_until_ms.get(member.host, now_ms) <= now_ms
+            if not self._is_in_backoff(member, now_ms)
         ]
         for choice in available:
             if self._is_local(choice) or self._can_answer(choice, age_ms):
@@ -149,6 +149,21 @@
         others = (choice for choice in available if not self._is_local(choice))
         return next(others, None)
 
+    def select_any(self, members: Iterable[Member], now_ms: float) -> Choice | None:
+        """
+        Return any member that is not in back-off, None if there is none.
+
+        For an instance without records that cannot read the published source: members
+        of other failure domains have the same records.
+        """
+        for member in rank(members):
+            if not self._is_in_backoff(member, now_ms):
+                return Choice(member, self._options.end_ages_ms[-1])
+        return None
+
+    def _is_in_backoff(self, member: Member, now_ms: float) -> bool:
+        return self._backoff_until_ms.get(member.host, now_ms) > now_ms
+
     def _is_local(self, choice: Choice) -> bool:
         return choice.member.host == self._local_member.host
 
--- a/tests/features/forwarding_reading.feature
+++ b/tests/features/forwarding_reading.feature
@@ -1,3 +1,4 @@
+@live
 Feature: A change is in force in time whatever the other instances and the source do
 
   Scenario: A change is late because an instance asks several failed sources in turn
@@ -26,3 +27,8 @@
 
   Scenario: An evacuation is late because only other changes have a bound
     Then the shortest of all bounds on changes limits the age of the replica
+
+  Scenario: Instances that restart while the store is away never serve
+    Then an instance without records uses a stale replica, and an older one changes nothing
+    And an instance without records and without peers asks other failure domains
+    And instances that restart in turn while the store is away serve again
--- a/tests/features/steps/forwarding_reading_steps.py
+++ b/tests/features/steps/forwarding_reading_steps.py
@@ -25,10 +25,11 @@
 from cardamomtiller.forwarding.sockets.httpserver import Request
 from cardamomtiller.forwarding.telemetry.meters import Meters
 from tests.platform_samples import platform_fields
-from tests.reading_rig import RESTORED_REVISION, Behaviour, Reading
+from tests.reading_rig import RESTORED_REVISION, REVISION, Behaviour, Reading
 from tests.replica_rig import apply_list, batch_of, make_replica, member
 from tools.packet_deployment import Deployment
 from tools.standins.proxy import Rule
+from tools.standins.store import Fault
 from tools.store_links import ProxyLinks
 
 SEED = 20261205
@@ -36,6 +37,7 @@
 CHANGE_S = CHANGE_MS / 1000
 TURNED_AWAY_SUBNET = 85
 UNANSWERED_SUBNET = 86
+RESTART_SUBNET = 92
 TURNED_AWAY = 3
 # Time in which the readers are up to date before a change.
 CALM_S = 4.0
@@ -288,3 +290,51 @@
         options = platform_settings.process_options(fields)
         assert options.sources.end_ages_ms[-1] < 2000, name
     assert Revision(NO_EPOCH, 5) < RESTORED_REVISION
+
+
+@then(
+    'an instance without records uses a stale replica, and an older one changes nothing'
+)
+def step_stale_replica(context):
+    reading = Reading(make_options(), 1)
+    reading.source.errors = [SourceError('status 503')] * 1000
+    (peer,) = reading.peers.values()
+    peer.change(Behaviour.STALE)
+    reading.clock.now_ms += 60_000
+    reading.run(20_000)
+    used = [result for result in reading.results if result.batch is not None]
+    assert [result.batch.revision for result in used] == [REVISION]
+    assert reading.clock.now_ms - used[0].confirmed_ms > 60_000
+    assert peer.calls > 3
+
+
+@then('an instance without records and without peers asks other failure domains')
+def step_remote_members(context):
+    reading = Reading(make_options(), 1)
+    reading.source.errors = [SourceError('status 503')] * 1000
+    reading.follower.remote_members = reading.follower.peers
+    reading.follower.peers = ()
+    reading.run(10_000)
+    (peer,) = reading.peers.values()
+    assert peer.calls == 1
+    assert reading.results[-1].error is not None
+    assert any(result.batch is not None for result in reading.results)
+
+
+@then('instances that restart in turn while the store is away serve again')
+def step_restart_in_turn(context):
+    deployment = Deployment({'a': 2, 'b': 1}, {'orders': 3}, RESTART_SUBNET)
+    context.add_cleanup(deployment.close)
+    deployment.wait_until_ready()
+    time.sleep(CALM_S)
+    deployment.store.fault = Fault.RESET
+    time.sleep(2 * CHANGE_S)
+    first, second, remote = deployment.hosts
+    for host in (remote, first, second):
+        deployment.processes[host].kill()
+        deployment.processes[host].wait()
+        deployment.start(host)
+        deployment.wait_until_ready()
+    requests = [deployment.traffic.start_request(443) for _ in range(40)]
+    time.sleep(2)
+    assert {request.outcome for request in requests} == {'done'}
