Let the soak turn all readers of a failure domain away

It now breaks the links of all instances of a domain but the last for up to 9 s, with a change before and after, and checks each change on each instance that was in touch. Each third seed has no other faults, so that such instances exist.

--- a/tools/broken_forwarding.py
+++ b/tools/broken_forwarding.py
@@ -14,6 +14,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'platform'))
 
 import main as program
+import settings
 import store
 from entries import EntryDecoder
 
@@ -93,6 +94,12 @@
     Follower._run = run  # type: ignore[method-assign]
 
 
+def wait_for_peers() -> None:
+    """Wait for the replicas of peers for longer than a change may take."""
+    settings.MAX_AGE_SHARE = 3
+    settings.END_AGE_SHARES = (3, 4, 5)
+
+
 def end_on_hang_up() -> None:
     """Install no handler for SIGHUP, so that the signal terminates the process."""
 
@@ -139,6 +146,7 @@
     'misdirect': misdirect,
     'keep_first_configuration': keep_first_configuration,
     'read_once': read_once,
+    'wait_for_peers': wait_for_peers,
     'end_on_hang_up': end_on_hang_up,
     'fail_on_malformed': fail_on_malformed,
     'ignore_epochs': ignore_epochs,
--- a/tools/packet_deployment.py
+++ b/tools/packet_deployment.py
@@ -105,8 +105,8 @@
             self.start(host)
         self.traffic.instance_hosts = list(self.hosts)
 
-    def publish_configuration(self, *extra_ports: int) -> None:
-        """Publish a new version; extra ports are routes to the first service."""
+    def publish_configuration(self, *extra_ports: int) -> int:
+        """Publish and return a version; extra ports are routes to the first service."""
         self._version += 3
         first_service = next(iter(self.routes.values()))
         ports = {**self.routes, **dict.fromkeys(extra_ports, first_service)}
@@ -126,6 +126,7 @@
         limits = {'idle_timeout_ms': 12_000}
         configuration = {'version': self._version, 'routes': routes, 'limits': limits}
         self.store.put('op/config', configuration)
+        return self._version
 
     def start(self, host: str) -> None:
         """Write the settings of an instance and start its process."""
--- a/tools/packet_soak.py
+++ b/tools/packet_soak.py
@@ -3,7 +3,8 @@
 
 Instance processes forward the packets of clients and upstreams while sequential and
 overlapping faults are injected: instances are stopped, paused, killed and restarted,
-a proxy delays, resets or stalls their connections to the store, the store returns
+a proxy delays, resets or stalls their connections to the store, of one or of all
+readers of a failure domain, the store returns
 errors or comes back from an older copy, upstreams fail and drain, and configurations change. The guarantees are
 checked by the packets that clients and upstreams receive, by the readiness checks and
 by the logs. The exit code is 1 if a seed fails; its events are printed.
@@ -19,8 +20,10 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from functools import partial
+from math import inf
 from pathlib import Path
 from random import Random
+from typing import Any, NamedTuple
 
 from tools.packet_deployment import PROGRAM, Deployment
 from tools.packet_traffic import ClientRequest
@@ -48,6 +51,8 @@
 BROKEN_PROGRAM = Path(__file__).resolve().parent / 'broken_forwarding.py'
 # A defect may need several seeds: not every sequence of faults triggers it.
 SEEDS_PER_DEFECT = 3
+# Each n-th seed has only faults of the links between instances and store.
+IN_TOUCH_INTERVAL = 3
 # Port of the first added route.
 EXTRA_PORT = 5000
 # Port of the route that is added after the faults.
@@ -74,6 +79,14 @@
     broken: list[str] = field(default_factory=list)
 
 
+class Change(NamedTuple):
+    """A configuration, and when the store acknowledged it by two clocks."""
+
+    version: int
+    acknowledged_s: float
+    wall_clock_s: float
+
+
 class Soak:
     """A run of random faults that a seed determines."""
 
@@ -96,6 +109,11 @@
         self._deployment = Deployment(domains, SERVICES, subnet, self._links, program)
         self._hosts = tuple(self._deployment.hosts)
         self._disturbed_until_s = dict.fromkeys(self._hosts, 0.0)
+        # Start and end of each disturbance of an instance.
+        self._disturbances: dict[str, list[tuple[float, float]]] = {
+            host: [] for host in self._hosts
+        }
+        self._changes: list[Change] = []
         self._unready_since_s: dict[str, float] = {}
         self._scheduled_actions: list[tuple[float, Callable[[], None]]] = []
         self._long_flows: list[ClientRequest] = []
@@ -159,18 +177,24 @@
 
     def _random_events(self) -> Iterator[Callable[[], None]]:
         choices = (
-            self._kill_instance,
-            self._terminate_instance,
-            self._pause_instance,
             self._reload_settings,
-            self._inject_store_fault,
-            self._inject_link_fault,
-            self._fail_upstream,
+            self._turn_readers_away,
             self._drain_upstream,
             self._add_route,
             self._clear_store_history,
-            self._restore_store,
         )
+        # With the other seeds some instances are in touch with the store throughout, so
+        # that the time until they have a change in force can be checked.
+        if self.findings.seed % IN_TOUCH_INTERVAL:
+            choices += (
+                self._kill_instance,
+                self._terminate_instance,
+                self._pause_instance,
+                self._inject_store_fault,
+                self._inject_link_fault,
+                self._fail_upstream,
+                self._restore_store,
+            )
         while True:
             yield self._random.choice(choices)
 
@@ -178,7 +202,9 @@
         self.findings.events.append(text)
 
     def _mark_disturbed(self, host: str, duration_s: float) -> None:
-        until_s = time.monotonic() + duration_s
+        now_s = time.monotonic()
+        until_s = now_s + duration_s
+        self._disturbances[host].append((now_s, until_s))
         self._disturbed_until_s[host] = max(self._disturbed_until_s[host], until_s)
 
     def _schedule(self, delay_s: float, action: Callable[[], None]) -> None:
@@ -242,7 +268,21 @@
 
     def _inject_link_fault(self) -> None:
         host = self._pick_host()
-        duration_s = self._random.uniform(0.3, 3)
+        self._break_link(host, self._random.uniform(0.3, 3))
+
+    def _turn_readers_away(self) -> None:
+        """Break the links of all instances of a domain but the last one by rank."""
+        domain = self._random.choice(DOMAINS)
+        hosts = [
+            host for host, name in self._deployment.hosts.items() if name == domain
+        ]
+        duration_s = self._random.uniform(0.3, 9)
+        self._add_route()
+        for host in sorted(hosts)[:-1]:
+            self._break_link(host, duration_s)
+        self._add_route()
+
+    def _break_link(self, host: str, duration_s: float) -> None:
         rule = self._random.choice(
             (
                 Rule(host, 's', cut=1),
@@ -291,9 +331,13 @@
     def _add_route(self) -> None:
         self._record_event('configuration with a new route')
         port = EXTRA_PORT + len(self._added_routes)
-        self._deployment.publish_configuration(port)
+        self._publish(port)
         self._added_routes[port] = time.monotonic()
 
+    def _publish(self, port: int) -> None:
+        version = self._deployment.publish_configuration(port)
+        self._changes.append(Change(version, time.monotonic(), time.time()))
+
     def _clear_store_history(self) -> None:
         self._record_event('store clears its history')
         self._deployment.store.clear_history()
@@ -334,7 +378,7 @@
         for host in self._hosts:
             self._deployment.signal(host, signal.SIGCONT)
         self._garble_entry()
-        self._deployment.publish_configuration(FINAL_PORT)
+        self._publish(FINAL_PORT)
 
     def _garble_entry(self) -> None:
         """Replace an entry by one that cannot be read and names no upstream to use."""
@@ -429,6 +473,35 @@
                 all(before <= version for before, version in versions),
                 f'{host} went back to an older configuration',
             )
+            for change in self._changes:
+                if self._is_in_touch(host, change):
+                    self._check_change(host, change, rows)
+
+    def _is_in_touch(self, host: str, change: Change) -> bool:
+        """Return whether nothing disturbed an instance before and after a change."""
+        start_s = change.acknowledged_s - MAX_RECOVERY_S
+        end_s = change.acknowledged_s + MAX_CHANGE_DELAY_S
+        return not any(
+            disturbed_s < end_s and until_s > start_s
+            for disturbed_s, until_s in self._disturbances[host]
+        )
+
+    def _check_change(
+        self, host: str, change: Change, rows: list[dict[str, Any]]
+    ) -> None:
+        in_force_s = min(
+            (
+                row['time'] - change.wall_clock_s
+                for row in rows
+                if row['event'] == 'configuration_in_force'
+                and row['version'] >= change.version
+            ),
+            default=inf,
+        )
+        self._require(
+            in_force_s < MAX_CHANGE_DELAY_S,
+            f'{host} had version {change.version} in force after {in_force_s:.1f} s',
+        )
 
     def _require(self, is_met: bool, guarantee: str) -> None:
         if not is_met:
