Share the options, decoders and steps that stood twice in the tests

No change of what is checked: the failing decoder of two step files, the limits of the selection of three, and the two scenarios with real instances whose readers are turned away.

--- a/tests/features/steps/forwarding_fleet_steps.py
+++ b/tests/features/steps/forwarding_fleet_steps.py
@@ -41,13 +41,14 @@
 from cardamomtiller.forwarding.replication.replica import (
     MAX_CONFIRMATION_GAP_MS,
 )
-from cardamomtiller.forwarding.replication.sources import SourceOptions, SourceSelector
+from cardamomtiller.forwarding.replication.sources import SourceSelector
 from cardamomtiller.forwarding.sockets.httpserver import (
     IDLE_TIMEOUT_MS,
     HttpServer,
     Reply,
 )
 from tests.replica_rig import (
+    SOURCE_OPTIONS,
     apply_list,
     batch_of,
     make_replica,
@@ -57,14 +58,6 @@
 )
 
 SEED = 20261205
-SOURCE_OPTIONS = SourceOptions(
-    max_age_ms=1200,
-    end_ages_ms=(1500, 1800, 2100),
-    reply_ms=150,
-    failure_backoff_ms=3000,
-    initial_retry_ms=200,
-    max_retry_ms=1500,
-)
 TOKEN = Token(7)
 LOSS_RATE = 0.1
 
--- a/tests/features/steps/forwarding_malformed_steps.py
+++ b/tests/features/steps/forwarding_malformed_steps.py
@@ -16,7 +16,6 @@
 )
 from cardamomtiller.forwarding.published.records import (
     NO_EPOCH,
-    Batch,
     MalformedRecord,
     Record,
     RecordKey,
@@ -25,9 +24,7 @@
 )
 from cardamomtiller.forwarding.published.upstreams import UpstreamEntry, UpstreamState
 from cardamomtiller.forwarding.replication.peersource import decode_reply
-from cardamomtiller.forwarding.replication.replica import Replica
 from cardamomtiller.forwarding.sockets.httpclient import Response
-from tests import forwarding_rig as rig
 from tests.malformed_samples import (
     DEPTHS,
     DIGITS,
@@ -39,6 +36,14 @@
     with_value,
 )
 from tests.platform_samples import CONFIGURATION, ENTRY, ROUTE
+from tests.replica_rig import (
+    FailingDecoder,
+    apply_list,
+    batch_of,
+    make_replica,
+    pool_ids,
+    record_at,
+)
 from tools.packet_deployment import Deployment
 
 FIRST = Revision(NO_EPOCH, 1)
@@ -117,28 +122,14 @@
     return False
 
 
-class FailingDecoder(entries.EntryDecoder):
-    """Decoder with a defect that one content triggers."""
-
-    def decode(self, record):
-        """Raise an error that no caller expects for one content."""
-        if record.content == 'odd':
-            raise RecursionError('defect')
-        return super().decode(record)
-
-
 @then('a live upstream whose entry raises an unexpected error is removed')
 def step_unexpected_error(context):
-    forwarder = rig.make_forwarder(())
-    log, meters = forwarder._reporter._log, forwarder._reporter.meters
-    replica = Replica(forwarder, FailingDecoder(), log, meters)
-    good = Record(KEY, FIRST, json.dumps(ENTRY))
-    assert replica.apply(Batch(None, FIRST, (good,)), 0, 0)
-    assert forwarder.directory.find('i-1').state is UpstreamState.READY
-    second = Revision(NO_EPOCH, 2)
-    odd = good._replace(revision=second, content='odd')
-    assert replica.apply(Batch(FIRST, second, (odd,)), 0, 0)
-    assert forwarder.directory.find('i-1').state is UpstreamState.MISSING
+    forwarder, replica = make_replica(FailingDecoder())
+    apply_list(replica, ('u-1', 'u-2'), revision=10)
+    odd = record_at('u-1', 11, 'defect')
+    assert replica.apply(batch_of(10, 11, (odd,)), 0, 0)
+    assert forwarder.directory.find('u-1').state is UpstreamState.MISSING
+    assert pool_ids(forwarder) == {'u-2'}
 
 
 @then('an entry with a number of up to a million digits is decoded or reported in time')
@@ -299,14 +290,11 @@
 
 def service_after(odd_entry):
     """Return the service of a live upstream after an entry of another writer."""
-    forwarder = rig.make_forwarder(())
-    log, meters = forwarder._reporter._log, forwarder._reporter.meters
-    replica = Replica(forwarder, entries.EntryDecoder(), log, meters)
-    good = Record(KEY, FIRST, json.dumps(ENTRY))
-    second = Revision(NO_EPOCH, 2)
-    odd = good._replace(revision=second, content=json.dumps(odd_entry))
-    assert replica.apply(Batch(None, FIRST, (good,)), 0, 0)
-    assert replica.apply(Batch(FIRST, second, (odd,)), 0, 0)
+    forwarder, replica = make_replica(entries.EntryDecoder())
+    good = record_at(KEY, 1, json.dumps(ENTRY))
+    odd = record_at(KEY, 2, json.dumps(odd_entry))
+    assert replica.apply(batch_of(None, 1, (good,)), 0, 0)
+    assert replica.apply(batch_of(1, 2, (odd,)), 0, 0)
     assert not forwarder.directory.pool('other'), odd_entry
     return forwarder.directory.find('i-1').entry.service
 
--- a/tests/features/steps/forwarding_reading_steps.py
+++ b/tests/features/steps/forwarding_reading_steps.py
@@ -95,32 +95,37 @@
     return deployment, links
 
 
-def turn_readers_away(deployment, links, **faults):
-    """Apply a fault to the links of the first instances; return the last instance."""
+def seconds_until_known(deployment, links, event, change, **faults):
+    """
+    Turn all readers away after a change, and make another one.
+
+    Returns
+    -------
+    float
+        Time from the second change to its log line on the last instance.
+    """
     *readers, last = deployment.hosts
     assert len(readers) == TURNED_AWAY
+    deployment.publish_configuration(4998)
+    time.sleep(BETWEEN_CHANGES_S)
     for host in readers:
         links.set(host, Rule(host, 's', **faults))
-    return last
-
-
-def seconds_until(deployment, host, event, start_s):
-    """Return the time from a moment until the last log line with an event."""
-    rows = [row for row in deployment.log_rows(host) if row['event'] == event]
-    return rows[-1]['time'] - start_s
+    change()
+    acknowledged_s = time.time()
+    time.sleep(CHANGE_S + 1)
+    rows = [row for row in deployment.log_rows(last) if row['event'] == event]
+    return rows[-1]['time'] - acknowledged_s
 
 
 @then('a change reaches an instance in touch in time while its readers are turned away')
 def step_turned_away(context):
     deployment, links = open_deployment(context, TURNED_AWAY_SUBNET)
-    deployment.publish_configuration(4998)
-    time.sleep(BETWEEN_CHANGES_S)
-    last = turn_readers_away(deployment, links, reset=1)
-    deployment.publish_configuration(4998, 4999)
-    acknowledged_s = time.time()
-    time.sleep(CHANGE_S + 1)
-    elapsed_s = seconds_until(
-        deployment, last, 'configuration_in_force', acknowledged_s
+    elapsed_s = seconds_until_known(
+        deployment,
+        links,
+        'configuration_in_force',
+        lambda: deployment.publish_configuration(4998, 4999),
+        reset=1,
     )
     assert 0 < elapsed_s < CHANGE_S, elapsed_s
 
@@ -128,13 +133,13 @@
 @then('a draining upstream gets no new flows in time while its readers get no answer')
 def step_unanswered(context):
     deployment, links = open_deployment(context, UNANSWERED_SUBNET)
-    deployment.publish_configuration(4998)
-    time.sleep(BETWEEN_CHANGES_S)
-    last = turn_readers_away(deployment, links, cut=1)
-    deployment.drain(deployment.upstreams[0].name)
-    acknowledged_s = time.time()
-    time.sleep(CHANGE_S + 1)
-    elapsed_s = seconds_until(deployment, last, 'upstream_entry', acknowledged_s)
+    elapsed_s = seconds_until_known(
+        deployment,
+        links,
+        'upstream_entry',
+        lambda: deployment.drain(deployment.upstreams[0].name),
+        cut=1,
+    )
     assert 0 < elapsed_s < CHANGE_S, elapsed_s
 
 
--- a/tests/features/steps/forwarding_records_steps.py
+++ b/tests/features/steps/forwarding_records_steps.py
@@ -30,6 +30,13 @@
 from cardamomtiller.forwarding.telemetry.meters import Meters
 from tests import forwarding_rig as rig
 from tests.platform_samples import CONFIGURATION, ENTRY, ROUTE
+from tests.replica_rig import (
+    FailingDecoder,
+    batch_of,
+    make_replica,
+    pool_ids,
+    record_at,
+)
 
 FIRST = Revision(NO_EPOCH, 1)
 
@@ -125,29 +132,14 @@
                 log.flush(sink.fileno())
 
 
-class FailingDecoder(entries.EntryDecoder):
-    """Decoder with a defect that one record triggers."""
-
-    def decode(self, record):
-        """Raise an error that no caller expects for one record."""
-        if record.key == 'servers/i-1':
-            raise AttributeError('defect')
-        return super().decode(record)
-
-
 @then('the records after one that raises an unexpected error are applied')
 def step_decoder_defect(context):
-    forwarder = rig.make_forwarder(())
-    log = DecisionLog('test', LogOptions(10_000, 100, 10_000), lambda: 0.0)
-    meters = Meters()
-    replica = Replica(forwarder, FailingDecoder(), log, meters)
-    records = [
-        Record(f'servers/i-{number}', FIRST, json.dumps(ENTRY)) for number in (1, 2)
-    ]
-    assert replica.apply(Batch(None, FIRST, tuple(records)), 0, 0)
-    assert forwarder.directory.find('i-2') is not None
+    forwarder, replica = make_replica(FailingDecoder())
+    records = (record_at('u-1', 1, 'defect'), record_at('u-2', 1, 'ready'))
+    assert replica.apply(batch_of(None, 1, records), 0, 0)
+    assert pool_ids(forwarder) == {'u-2'}
     assert replica.revision == FIRST
-    assert meters.counters['records_malformed'] == 1
+    assert forwarder._reporter.meters.counters['records_malformed'] == 1
 
 
 def announcements_with(value):
--- a/tests/replica_rig.py
+++ b/tests/replica_rig.py
@@ -11,9 +11,20 @@
     Revision,
 )
 from cardamomtiller.forwarding.replication.replica import Replica
+from cardamomtiller.forwarding.replication.sources import SourceOptions
 from cardamomtiller.ids import UpstreamId
 from tests import forwarding_rig as rig
 
+# Those of a deployment in which a change must be in force within 3 s.
+SOURCE_OPTIONS = SourceOptions(
+    max_age_ms=1200,
+    end_ages_ms=(1500, 1800, 2100),
+    reply_ms=150,
+    failure_backoff_ms=3000,
+    initial_retry_ms=200,
+    max_retry_ms=1500,
+)
+
 
 def member(number, domain='a', capacity=100.0):
     """Return a member whose instance name and host derive from ``number``."""
@@ -37,11 +48,14 @@
         return UpstreamId(key)
 
 
-def make_replica():
+def make_replica(decoder=None):
     """Return a forwarder without upstreams, and a replica that updates it."""
     forwarder = rig.make_forwarder(())
     return forwarder, Replica(
-        forwarder, Decoder(), forwarder._reporter._log, forwarder._reporter.meters
+        forwarder,
+        decoder or Decoder(),
+        forwarder._reporter._log,
+        forwarder._reporter.meters,
     )
 
 
@@ -66,3 +80,13 @@
     """Return the ids of the upstreams that may receive new flows."""
     forwarder.sweep(1e6)
     return {upstream.entry.upstream for upstream in forwarder.directory.pool('orders')}
+
+
+class FailingDecoder(Decoder):
+    """Decoder with a defect that one content triggers."""
+
+    def decode(self, record):
+        """Raise an error that no caller expects for one content."""
+        if record.content == 'defect':
+            raise RecursionError('defect')
+        return super().decode(record)
--- a/tests/restore_rig.py
+++ b/tests/restore_rig.py
@@ -14,23 +14,20 @@
     encode_reply,
 )
 from cardamomtiller.forwarding.replication.replica import Replica
-from cardamomtiller.forwarding.replication.sources import SourceOptions, SourceSelector
+from cardamomtiller.forwarding.replication.sources import SourceSelector
 from cardamomtiller.forwarding.replication.updating import ReplicaUpdater
 from cardamomtiller.forwarding.telemetry.meters import Meters
 from tests import forwarding_rig as rig
 from tests.platform_samples import CONFIGURATION, ENTRY, ROUTE
+from tests.replica_rig import SOURCE_OPTIONS
 from tools.standins.store import Store
 
 LOCAL_MEMBER = Member('i-1', 'a', '127.0.0.1', 1)
 OTHER_MEMBER = Member('i-2', 'a', '127.0.0.2', 1)
 FIRST_MEMBER = Member('i-0', 'a', '127.0.0.0', 1)
-SELECTION = SourceOptions(
-    max_age_ms=1200,
-    end_ages_ms=(1500, 1800, 2100),
-    reply_ms=1,
-    failure_backoff_ms=0,
-    initial_retry_ms=0,
-    max_retry_ms=0,
+# The instances of these tests read without pauses.
+SELECTION = SOURCE_OPTIONS._replace(
+    reply_ms=1, failure_backoff_ms=0, initial_retry_ms=0, max_retry_ms=0
 )
 READING = FollowerOptions(
     source_wait_ms=1,
