Forward on when the reader of the log has gone away

The lines are now counted as suppressed, and a later reader is told how many there were.

Evidence: forwarding_defects.feature, "A process ends because the reader of its log has gone away", failed before with BrokenPipeError.

--- a/src/cardamomtiller/forwarding/telemetry/decisionlog.py
+++ b/src/cardamomtiller/forwarding/telemetry/decisionlog.py
@@ -115,6 +115,13 @@
             written = os.write(descriptor, self._unwritten)
         except BlockingIOError:
             return
+        except OSError:
+            # The reader has gone away; the end of the process would help nobody.
+            lost_lines = self._unwritten.count(b'\n')
+            self.suppressed += lost_lines
+            self._unreported_lines += lost_lines
+            self._unwritten = b''
+            return
         self._unwritten = self._unwritten[written:]
 
     def _append(self, event: str, now_ms: float, details: dict[str, Detail]) -> None:
--- a/tests/features/steps/forwarding_defects_steps.py
+++ b/tests/features/steps/forwarding_defects_steps.py
@@ -256,3 +256,22 @@
     assert process._meters.counters['defects'] == counts['errors']
     lines = b''.join(process._log._buffer)
     assert b'injected error' in lines and b'observer.sweep' in lines
+
+
+@then('lines for a reader that has gone away are counted as suppressed')
+def step_reader_gone(context):
+    log = rig.DecisionLog('test', rig.LogOptions(100, 10, 100), lambda: 0.0)
+    reader, writer = os.pipe()
+    os.close(reader)
+    for _ in range(3):
+        log.write_milestone('serving', 0)
+    log.flush(writer)
+    os.close(writer)
+    assert log.suppressed == 3
+    reader, writer = os.pipe()
+    log.write_milestone('serving', 1)
+    log.flush(writer)
+    lines = os.read(reader, 1 << 16).splitlines()
+    os.close(reader)
+    os.close(writer)
+    assert b'"lines":3' in lines[0] and b'"serving"' in lines[1]
