--- a/src/cardamomtiller/forwarding/process.py
+++ b/src/cardamomtiller/forwarding/process.py
@@ -71,7 +71,6 @@
         self._follower = Follower(
             options.local_member,
             source,
-            options.internal_port,
             SourceSelector(options.local_member, options.sources),
             options.follower,
             monotonic_ms,
--- a/src/cardamomtiller/forwarding/replication/following.py
+++ b/src/cardamomtiller/forwarding/replication/following.py
@@ -16,10 +16,7 @@
     SourceError,
 )
 from cardamomtiller.forwarding.replication.consultation import Consultation
-from cardamomtiller.forwarding.replication.peersource import (
-    ChangesRequest,
-    PeerConnection,
-)
+from cardamomtiller.forwarding.replication.peerreading import PeerOptions, PeerReader
 from cardamomtiller.forwarding.replication.sources import Choice, SourceSelector
 from cardamomtiller.ids import MS_PER_S
 
@@ -32,22 +29,19 @@
     ----------
     source_wait_ms
         Age of the replica up to which a call to the source waits for a change.
-    peer_reply_ms
-        Time that the reply of a peer may take beyond its wait for a change.
-    peer_timeout_ms
-        Longest time of a call to a peer that does not wait for a change.
     change_pause_ms
         Pause after a change, so that one call returns several close changes.
     discovery_wait_ms
         Pause of a new instance after its first call, in which peers announce
         themselves.
+    peers
+        Timing of calls to peers.
     """
 
     source_wait_ms: float
-    peer_reply_ms: float
-    peer_timeout_ms: float
     change_pause_ms: float
     discovery_wait_ms: float
+    peers: PeerOptions
 
 
 class ReadResult(NamedTuple):
@@ -91,7 +85,6 @@
         self,
         local_member: Member,
         source: RecordSource,
-        internal_port: int,
         selector: SourceSelector,
         options: FollowerOptions,
         clock_ms: Callable[[], float],
@@ -100,7 +93,6 @@
         """Prepare the reader; ``start`` starts its thread."""
         self._local_member = local_member
         self._source = source
-        self._internal_port = internal_port
         self._selector = selector
         self._options = options
         self._clock_ms = clock_ms
@@ -108,14 +100,18 @@
         self._results: deque[ReadResult] = deque()
         self._revision = NO_REVISION
         self._confirmed_ms: float | None = None
-        self._peer: PeerConnection | None = None
+        self._peer_reader = PeerReader(options.peers)
         self._stopped = threading.Event()
         self._is_list_requested = False
         self._consultation = Consultation()
         self.peers: tuple[Member, ...] = ()
         self.remote_members: tuple[Member, ...] = ()
         self.source_calls = 0
-        self.peer_calls = 0
+
+    @property
+    def peer_calls(self) -> int:
+        """Number of calls to peers."""
+        return self._peer_reader.calls
 
     def start(self) -> None:
         """Start the reading thread."""
@@ -188,14 +184,12 @@
 
     def _consult_peer(self) -> None:
         peer = self._consultation.next_peer(self.peers)
-        timeout_ms = self._options.peer_timeout_ms
+        timeout_ms = self._options.peers.timeout_ms
         age_ms = self._age_ms(self._clock_ms())
         if peer is None or not self._selector.has_time(timeout_ms, age_ms):
             return
-        connection = self._open_connection(peer)
-        self.peer_calls += 1
         try:
-            batch = connection.read_retained(timeout_ms).batch
+            batch = self._peer_reader.read_retained(peer).batch
         except Exception as error:
             # If this thread ended, the replica would never be updated again.
             self._consultation.record_failure(peer.host)
@@ -203,7 +197,6 @@
         else:
             self._consultation.record_answer(peer.host, batch)
             self._publish_retained(peer, batch, None)
-        connection.close()
 
     def _publish_retained(
         self, peer: Member, batch: Batch | None, error: str | None
@@ -263,11 +256,11 @@
         return ReadResult(batch, None, self._local_member.host, True, confirmed_ms)
 
     def _read_peer(self, choice: Choice) -> ReadResult:
-        self.peer_calls += 1
+        self._source.close()
         host = choice.member.host
-        peer = self._connect(choice.member)
         sent_ms = self._clock_ms()
-        reply = peer.read(self._changes_request(choice, sent_ms))
+        age_ms = self._age_ms(sent_ms)
+        reply = self._peer_reader.read_changes(choice, self._revision, age_ms)
         if reply.batch.revision < self._revision:
             raise SourceError(f'replica of {host} is behind: {reply.batch.revision}')
         # The reply may have been delayed on its way, but was sent after the wait.
@@ -286,31 +279,6 @@
             self._confirm(result.confirmed_ms)
             self._publish(result)
 
-    def _changes_request(self, choice: Choice, now_ms: float) -> ChangesRequest:
-        reply_ms = self._options.peer_reply_ms
-        timeout_ms = choice.end_age_ms - self._age_ms(now_ms)
-        if timeout_ms < reply_ms:
-            # No source has answered in time, so any reply is better than none.
-            timeout_ms = self._options.peer_timeout_ms
-            wait_ms = 0
-        else:
-            wait_ms = round(timeout_ms - reply_ms)
-        max_age_ms = round(choice.end_age_ms - reply_ms)
-        return ChangesRequest(self._revision, wait_ms, max_age_ms, timeout_ms)
-
-    def _connect(self, member: Member) -> PeerConnection:
-        address = (member.host, self._internal_port)
-        if self._peer is None or self._peer.address != address:
-            if self._peer is not None:
-                self._peer.close()
-            self._source.close()
-            self._peer = self._open_connection(member)
-        return self._peer
-
-    def _open_connection(self, member: Member) -> PeerConnection:
-        address = (member.host, self._internal_port)
-        return PeerConnection(address)
-
     def _publish(self, result: ReadResult) -> None:
         self._results.append(result)
         self._wake()
--- a/tests/features/steps/forwarding_fleet_steps.py
+++ b/tests/features/steps/forwarding_fleet_steps.py
@@ -37,6 +37,7 @@
     SourceError,
 )
 from cardamomtiller.forwarding.replication.following import Follower, FollowerOptions
+from cardamomtiller.forwarding.replication.peerreading import PeerOptions
 from cardamomtiller.forwarding.replication.removals import MAX_REMOVALS
 from cardamomtiller.forwarding.replication.replica import (
     MAX_CONFIRMATION_GAP_MS,
@@ -281,11 +282,9 @@
 @then('the first page of a list is published before the next one is read')
 def step_first_page_published(context):
     source = PagedSource(lambda: follower._results)
-    options = FollowerOptions(1, 1, 1, 1, 1)
+    options = FollowerOptions(1, 1, 1, PeerOptions(1, 1, 1))
     selector = SourceSelector(member(0), SOURCE_OPTIONS)
-    follower = Follower(
-        member(0), source, 1, selector, options, lambda: 0.0, lambda: None
-    )
+    follower = Follower(member(0), source, selector, options, lambda: 0.0, lambda: None)
     follower._read_once()
     assert source.results_before_second == 1
     first, second = follower.drain_results()
--- a/tests/reading_rig.py
+++ b/tests/reading_rig.py
@@ -12,7 +12,7 @@
     Revision,
     SourceError,
 )
-from cardamomtiller.forwarding.replication import following
+from cardamomtiller.forwarding.replication import peerreading
 from cardamomtiller.forwarding.replication.following import Follower
 from cardamomtiller.forwarding.replication.peersource import PeerReply
 from cardamomtiller.forwarding.replication.sources import SourceSelector
@@ -155,7 +155,6 @@
         self.follower = Follower(
             local_member,
             self.source,
-            1,
             SourceSelector(local_member, options.sources),
             options.follower,
             self.clock,
@@ -195,7 +194,7 @@
     @contextmanager
     def _connections(self):
         connect = lambda address: self.peers[address[0]]  # noqa: E731
-        with patch.object(following, 'PeerConnection', connect):
+        with patch.object(peerreading, 'PeerConnection', connect):
             yield
 
     def _pause(self, duration_ms):
--- a/tests/restore_rig.py
+++ b/tests/restore_rig.py
@@ -6,8 +6,9 @@
 from store import Store as StoreClient
 
 from cardamomtiller.forwarding.member import Member
-from cardamomtiller.forwarding.replication import following
+from cardamomtiller.forwarding.replication import peerreading
 from cardamomtiller.forwarding.replication.following import Follower, FollowerOptions
+from cardamomtiller.forwarding.replication.peerreading import PeerOptions
 from cardamomtiller.forwarding.replication.peersource import (
     PeerReply,
     decode_reply,
@@ -31,10 +32,9 @@
 )
 READING = FollowerOptions(
     source_wait_ms=1,
-    peer_reply_ms=1,
-    peer_timeout_ms=100,
     change_pause_ms=0,
     discovery_wait_ms=0,
+    peers=PeerOptions(internal_port=1, reply_ms=1, timeout_ms=100),
 )
 SERVICE = ENTRY['service']
 # Calls after which an instance must have read all changes: a failed one, a list and
@@ -80,7 +80,6 @@
         self.follower = Follower(
             member,
             self.client,
-            1,
             SourceSelector(member, SELECTION),
             READING,
             lambda: self.now_ms,
@@ -99,7 +98,7 @@
         by_host = {peer.member.host: peer for peer in peers}
         self.follower.peers = tuple(peer.member for peer in peers)
         with patch.object(
-            following,
+            peerreading,
             'PeerConnection',
             lambda address: PeerLink(by_host[address[0]]),
         ):
