--- a/src/cardamomtiller/forwarding/replication/replica.py
+++ b/src/cardamomtiller/forwarding/replication/replica.py
@@ -180,6 +180,8 @@
 
     def changes_after(self, after: Revision) -> Batch:
         """Return the changes after a peer's revision, or else the complete list."""
+        if after == self.revision:
+            return Batch(after, after, ())
         if not self._removals.is_complete_after(after):
             return Batch(None, self.revision, tuple(self._records.values()))
         newer = (
