--- a/tools/broken_forwarding.py
+++ b/tools/broken_forwarding.py
@@ -21,7 +21,11 @@
 from cardamomtiller.forwarding import endpoints
 from cardamomtiller.forwarding.process import ForwardingProcess
 from cardamomtiller.forwarding.published import directory, upstreams
-from cardamomtiller.forwarding.published.records import NO_EPOCH, NO_REVISION
+from cardamomtiller.forwarding.published.records import (
+    NO_EPOCH,
+    NO_REVISION,
+    MalformedRecord,
+)
 from cardamomtiller.forwarding.replication.following import Follower
 from cardamomtiller.forwarding.routing.forwarder import Forwarder
 from cardamomtiller.forwarding.routing.observing import Observer
@@ -109,17 +113,17 @@
     ForwardingProcess._handle_signals = handle_signals  # type: ignore[method-assign]
 
 
-def fail_on_malformed() -> None:
-    """Raise an error for a malformed record instead of skipping it."""
+def keep_malformed() -> None:
+    """Report a malformed entry without its upstream, so that the upstream stays in use."""
     decode = EntryDecoder.decode
 
-    def decode_or_raise(decoder, record):  # type: ignore[no-untyped-def]
-        decoded_record = decode(decoder, record)
-        if type(decoded_record).__name__ == 'MalformedRecord':
-            raise RuntimeError(record.key)
-        return decoded_record
+    def decode_without_upstream(decoder, record):  # type: ignore[no-untyped-def]
+        change = decode(decoder, record)
+        if isinstance(change, MalformedRecord):
+            return change._replace(upstream=None)
+        return change
 
-    EntryDecoder.decode = decode_or_raise  # type: ignore[method-assign]
+    EntryDecoder.decode = decode_without_upstream  # type: ignore[method-assign]
 
 
 def ignore_epochs() -> None:
@@ -148,7 +152,7 @@
     'read_once': read_once,
     'wait_for_peers': wait_for_peers,
     'end_on_hang_up': end_on_hang_up,
-    'fail_on_malformed': fail_on_malformed,
+    'keep_malformed': keep_malformed,
     'ignore_epochs': ignore_epochs,
     'stall': stall,
 }
