Add limits of single upstreams, and read what the new parts ask for

Cause: selection only compares costs, so nothing keeps a flow from an upstream that has no room, and the stated link rate, the slow-start rates and the connection limits are not read.

Change: `placement.gates` states limits of single upstreams; a flow is placed only where all gates admit it, and its opening packet waits otherwise. The configuration keeps `max_connections`, `warmup_s` and `warmup_per_s` of each service, the settings give the link rate and the bounds on slow start as options. Without a gate nothing changes.

--- a/src/cardamomtiller/forwarding/admission/control.py
+++ b/src/cardamomtiller/forwarding/admission/control.py
@@ -17,8 +17,12 @@
     WaitQueue,
 )
 from cardamomtiller.forwarding.observation.load import LoadTable
-from cardamomtiller.forwarding.observation.reachability import Reachability
+from cardamomtiller.forwarding.observation.reachability import (
+    PathState,
+    Reachability,
+)
 from cardamomtiller.forwarding.packet import Packet
+from cardamomtiller.forwarding.placement.gates import GateSet
 from cardamomtiller.forwarding.placement.selection import min_latency_ms
 from cardamomtiller.forwarding.published.configuration import Route
 from cardamomtiller.forwarding.published.directory import UpstreamDirectory
@@ -87,6 +91,7 @@
         reachability: Reachability,
         options: AdmissionOptions,
         start_window: StartWindow,
+        gates: GateSet,
     ) -> None:
         """Initialise without waiting packets, and with an unknown fleet."""
         self._directory = directory
@@ -95,6 +100,7 @@
         self._options = options
         self._queues: dict[ServiceName, WaitQueue] = {}
         self._start_window = start_window
+        self._gates = gates
         # Number of packets that were dropped because their clients no longer wait.
         self.abandoned = 0
         # Number of instances, None until the announcements of the others have arrived.
@@ -119,10 +125,11 @@
         Another copy of a waiting packet replaces the earlier one and waits too.
         """
         queue = self._queues.get(service)
-        if not queue and self._is_far_below_limit(service):
+        can_place = self._can_place(service, now_ms)
+        if not queue and can_place and self._is_far_below_limit(service):
             return Decision(Verdict.FORWARD, self._loads.total_in_progress, None, 0)
         use, limit = self._measure(service, now_ms)
-        if not queue and use.in_progress < limit:
+        if not queue and can_place and use.in_progress < limit:
             return Decision(Verdict.FORWARD, use.in_progress, limit, 0)
         if queue is None:
             queue = self._queues[service] = WaitQueue(self._options.wait)
@@ -166,7 +173,7 @@
         latency_ms = self._expected_latency_ms(service, now_ms)
         while queue:
             use, limit = self._measure(service, now_ms)
-            if use.in_progress >= limit:
+            if use.in_progress >= limit or not self._can_place(service, now_ms):
                 return
             yield Release(
                 queue.pop_next(latency_ms, now_ms),
@@ -177,6 +184,18 @@
                 len(queue),
             )
 
+    def _can_place(self, service: ServiceName, now_ms: float) -> bool:
+        """Return whether some upstream that can be reached may get another flow."""
+        if self._gates.is_empty:
+            return True
+        pool = self._directory.pool(service)
+        reachable = [
+            upstream
+            for upstream in pool
+            if self._reachability.state(upstream.token) is not PathState.UNREACHABLE
+        ]
+        return self._gates.can_place(reachable or pool, now_ms)
+
     def _is_far_below_limit(self, service: ServiceName) -> bool:
         """
         Return whether all requests of this instance are fewer than its equal part.
--- /dev/null
+++ b/src/cardamomtiller/forwarding/link/__init__.py
@@ -0,0 +1,1 @@
+"""The link of the instance: its rate, its queue, and the transfers that share it."""
--- a/src/cardamomtiller/forwarding/published/configuration.py
+++ b/src/cardamomtiller/forwarding/published/configuration.py
@@ -1,5 +1,7 @@
 """Published configuration: a version and its routes by address."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.packet import RouteAddress
@@ -51,6 +53,25 @@
         return self.shares[-1].service
 
 
+class ServiceLimits(NamedTuple):
+    """
+    What the configuration states for each upstream of a service; 0 if it states nothing.
+
+    Attributes
+    ----------
+    max_connections
+        Largest number of flows.
+    warmup_ms
+        Length of the slow-start period.
+    warmup_per_s
+        Requests per second that it bears during that period.
+    """
+
+    max_connections: int = 0
+    warmup_ms: float = 0
+    warmup_per_s: float = 0
+
+
 class Configuration(NamedTuple):
     """
     Routes of one configuration version.
@@ -59,12 +80,15 @@
     ----------
     services
         All services that the configuration names, also those without a route.
+    service_limits
+        Limits of the upstreams of each service that states some.
     """
 
     version: Version
     routes: dict[RouteAddress, Route]
     idle_timeout_ms: float
     services: frozenset[ServiceName] = frozenset()
+    service_limits: Mapping[ServiceName, ServiceLimits] = MappingProxyType({})
 
     def precedes(self, other: 'Configuration') -> bool:
         """Return whether another configuration has a later version."""
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -3,7 +3,11 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from cardamomtiller.forwarding.admission.control import Admission, Verdict
+from cardamomtiller.forwarding.admission.control import (
+    Admission,
+    ReleaseReason,
+    Verdict,
+)
 from cardamomtiller.forwarding.admission.limit import StartWindow
 from cardamomtiller.forwarding.admission.waitqueue import WaitingOpening
 from cardamomtiller.forwarding.observation.flows import Flow
@@ -17,6 +21,7 @@
     PacketFormat,
     format_address,
 )
+from cardamomtiller.forwarding.placement.gates import GateSet
 from cardamomtiller.forwarding.placement.locality import Locality
 from cardamomtiller.forwarding.placement.selection import (
     Choice,
@@ -52,10 +57,18 @@
 
 
 class Delivery(NamedTuple):
-    """A datagram to send and its destination."""
+    """
+    A datagram to send and its destination.
+
+    Attributes
+    ----------
+    packet
+        The packet of a client that the datagram carries, None for a reset.
+    """
 
     address: SocketAddress
     datagram: bytes
+    packet: Packet | None = None
 
 
 class Forwarder:
@@ -69,8 +82,26 @@
         options: ForwardingOptions,
         log: DecisionLog,
         meters: Meters,
+        gates: GateSet | None = None,
     ) -> None:
-        """Initialise without a configuration and without upstreams."""
+        """
+        Initialise without a configuration and without upstreams.
+
+        Parameters
+        ----------
+        locality
+            Failure domain and region of this instance.
+        packet_format
+            Wire format of the packets.
+        client_port
+            Port to which packets of the instance's own are sent at a client's address.
+        options
+            Options of the decisions.
+        log, meters
+            Where decisions are reported.
+        gates
+            Limits of single upstreams; None for those that the options ask for.
+        """
         self._locality = locality
         self._format = packet_format
         self._client_port = client_port
@@ -82,6 +113,7 @@
             options.missing_entry_grace_ms,
             options.departed_retention_ms,
         )
+        self._gates = GateSet() if gates is None else gates
         start_window = StartWindow(options.admission.limit)
         self.observer = Observer(self.directory, options, self._reporter, start_window)
         self.admission = Admission(
@@ -90,6 +122,7 @@
             self.observer.reachability,
             options.admission,
             start_window,
+            self._gates,
         )
         self.steadiness = NOT_STEADY
 
@@ -184,12 +217,15 @@
         """Place the flows whose opening packets have waited long enough."""
         for release in self.admission.release(now_ms):
             self._reporter.opening_released(release, now_ms)
-            yield from self._place_waiting(release.opening, now_ms)
+            is_overdue = release.reason is ReleaseReason.AGE
+            yield from self._place_waiting(
+                release.opening, now_ms, is_overdue=is_overdue
+            )
 
     def release_all_waiting(self, now_ms: float) -> Iterator[Delivery]:
         """Place all flows whose opening packets wait, before the process stops."""
         for opening in self.admission.release_all():
-            yield from self._place_waiting(opening, now_ms)
+            yield from self._place_waiting(opening, now_ms, is_overdue=True)
 
     def _can_client_retry(self, flow: Flow, now_ms: float) -> bool:
         """Return whether a waiting client may retry and its timeout has not passed."""
@@ -236,13 +272,17 @@
         self,
         opening: WaitingOpening,
         now_ms: float,
+        *,
+        is_overdue: bool,
     ) -> Iterator[Delivery]:
         """Place a flow by the configuration and load of now, not of its arrival."""
         route = self.configuration.routes.get(opening.packet.flow.route)
         if route is None:
             yield from self._refuse_unrouted(opening.packet, now_ms)
             return
-        yield from self._place_flow(opening.packet, opening.datagram, route, now_ms)
+        yield from self._place_flow(
+            opening.packet, opening.datagram, route, now_ms, is_overdue=is_overdue
+        )
 
     def _place_flow(
         self,
@@ -250,28 +290,40 @@
         datagram: bytes,
         route: Route,
         now_ms: float,
+        *,
+        is_overdue: bool = False,
     ) -> Iterator[Delivery]:
-        choice = self._place(packet, route, now_ms)
+        choice = self._place(packet, route, now_ms, is_overdue=is_overdue)
         if choice is None:
-            yield from self._refuse_unserved(packet, now_ms)
+            yield from self._refuse_unserved(packet, route, now_ms)
             return
+        self._gates.record_placement(choice.upstream, now_ms)
         self.observer.open_flow(
             packet.flow, choice.upstream, now_ms, route.target_latency_ms
         )
         version = self.configuration.version
         self._reporter.flow_placed(packet, route, choice, version, now_ms)
         opening = self._format.with_token(datagram, choice.upstream.token)
-        yield _to_upstream(choice.upstream, opening)
+        yield _to_upstream(choice.upstream, opening, packet)
 
-    def _place(self, packet: Packet, route: Route, now_ms: float) -> Choice | None:
+    def _place(
+        self,
+        packet: Packet,
+        route: Route,
+        now_ms: float,
+        *,
+        is_overdue: bool = False,
+    ) -> Choice | None:
         flow_hash = hash_flow(packet.flow)
         excluded = self.observer.handle_repeated_open(packet, now_ms)
         placement = self._options.placement
         pool = self.directory.pool(route.service_of(flow_hash))
+        candidates = sample_candidates(
+            pool, self._locality.domain, placement.max_candidates, flow_hash
+        )
         return choose_upstream(
-            sample_candidates(
-                pool, self._locality.domain, placement.max_candidates, flow_hash
-            ),
+            self._gates.admitted(candidates, now_ms)
+            or self._gates.admitted(pool, now_ms, is_overdue=is_overdue),
             self.observer.loads,
             self.observer.reachability,
             self._locality,
@@ -288,7 +340,12 @@
         self._drop(DropReason.NO_ROUTE, packet, now_ms)
         yield self._reset_delivery(packet.flow, packet.acknowledged)
 
-    def _refuse_unserved(self, packet: Packet, now_ms: float) -> Iterator[Delivery]:
+    def _refuse_unserved(
+        self, packet: Packet, route: Route, now_ms: float
+    ) -> Iterator[Delivery]:
+        if self.directory.pool(route.service_of(hash_flow(packet.flow))):
+            yield from self._refuse_without_room(packet, now_ms)
+            return
         self._drop(DropReason.NO_UPSTREAM, packet, now_ms)
         # Entries may expire while the record source is unavailable, and be published
         # again before the client repeats the opening packet. The flow is reset only if
@@ -296,6 +353,12 @@
         if self.steadiness.duration_ms >= self._options.unknown_token_ms:
             yield self._reset_delivery(packet.flow, packet.acknowledged)
 
+    def _refuse_without_room(self, packet: Packet, now_ms: float) -> Iterator[Delivery]:
+        """Reset a flow that no gate lets open, unless an earlier copy was forwarded."""
+        self._drop(DropReason.NO_ROOM, packet, now_ms)
+        if not self.observer.has_flow(packet.flow):
+            yield self._reset_delivery(packet.flow, packet.acknowledged)
+
     def _forward(
         self,
         packet: Packet,
@@ -311,7 +374,7 @@
             yield self._reset_flow(packet, upstream, ResetReason.UNREACHABLE, now_ms)
             return
         self._reporter.meters.count('packets_forwarded')
-        yield _to_upstream(upstream, datagram)
+        yield _to_upstream(upstream, datagram, packet)
 
     def _refuse_unknown(self, packet: Packet, now_ms: float) -> Iterator[Delivery]:
         """Drop a packet with an unknown token; reset the flow if the upstream is gone."""
@@ -361,5 +424,5 @@
         yield from forwarder.handle(datagram, now_ms)
 
 
-def _to_upstream(upstream: Upstream, datagram: bytes) -> Delivery:
-    return Delivery(upstream.entry.address, upstream.entry.frame + datagram)
+def _to_upstream(upstream: Upstream, datagram: bytes, packet: Packet) -> Delivery:
+    return Delivery(upstream.entry.address, upstream.entry.frame + datagram, packet)
--- a/src/cardamomtiller/forwarding/routing/options.py
+++ b/src/cardamomtiller/forwarding/routing/options.py
@@ -5,6 +5,7 @@
 from cardamomtiller.forwarding.admission.control import AdmissionOptions
 from cardamomtiller.forwarding.admission.limit import LimitOptions
 from cardamomtiller.forwarding.admission.waitqueue import WaitOptions
+from cardamomtiller.forwarding.link.options import LinkOptions
 from cardamomtiller.forwarding.observation.flows import FlowOptions
 from cardamomtiller.forwarding.observation.load import (
     MAX_REPORT_AGE_MS,
@@ -20,6 +21,7 @@
 )
 from cardamomtiller.forwarding.placement.selection import PlacementOptions
 from cardamomtiller.forwarding.telemetry.decisionlog import LogOptions
+from cardamomtiller.forwarding.warmup.options import WarmupOptions
 
 
 class ForwardingOptions(NamedTuple):
@@ -43,6 +45,10 @@
         suspected.
     unknown_token_ms
         Time for which a token must be unknown before its upstream is considered gone.
+    link
+        Scheduling of the instance's own link, None if its rate is not stated.
+    warmup
+        Quota of upstreams in slow start, None if none is stated.
     """
 
     admission: AdmissionOptions
@@ -56,6 +62,8 @@
     neighbour_silence_ms: float
     unanswered_threshold: float
     unknown_token_ms: float
+    link: LinkOptions | None = None
+    warmup: WarmupOptions | None = None
 
 
 DEFAULT_SILENCE = SilenceOptions(
--- a/src/cardamomtiller/forwarding/telemetry/reporting.py
+++ b/src/cardamomtiller/forwarding/telemetry/reporting.py
@@ -21,6 +21,7 @@
     NOT_CONFIGURED = 'not_configured'
     NO_ROUTE = 'no_route'
     NO_UPSTREAM = 'no_upstream'
+    NO_ROOM = 'no_room'
     UNKNOWN_TOKEN = 'unknown_token'
 
 
--- a/tests/forwarding_rig.py
+++ b/tests/forwarding_rig.py
@@ -165,11 +165,15 @@
     policy=Forwarder,
     domain=LOCAL_DOMAIN,
     regions=None,
+    gates=None,
 ):
     """Return a forwarder with a configuration and an entry for each name."""
     log = DecisionLog('test', LogOptions(10_000, 100, 10_000), lambda: 0.0)
     locality = Locality(domain, regions or {})
-    forwarder = policy(locality, HeaderFormat(), CLIENT_PORT, options, log, Meters())
+    extra = {} if gates is None else {'gates': gates}
+    forwarder = policy(
+        locality, HeaderFormat(), CLIENT_PORT, options, log, Meters(), **extra
+    )
     forwarder.apply_configuration(configuration(), 0)
     for name in names:
         forwarder.apply_entry(entry(name), 0)
--- a/tools/forwarding_replay.py
+++ b/tools/forwarding_replay.py
@@ -100,7 +100,7 @@
 class TwoChoices(Forwarder):
     """Simpler policy: of two random upstreams, the one with fewer local requests."""
 
-    def _place(self, packet, route, now_ms):  # type: ignore[no-untyped-def]
+    def _place(self, packet, route, now_ms, *, is_overdue=False):  # type: ignore[no-untyped-def]
         flow_hash = hash_flow(packet.flow)
         pool = self.directory.pool(route.service_of(flow_hash))
         candidates = (pool[flow_hash % len(pool)], pool[flow_hash // 7919 % len(pool)])
@@ -118,7 +118,7 @@
 
     _turn = 0
 
-    def _place(self, packet, route, now_ms):  # type: ignore[no-untyped-def]
+    def _place(self, packet, route, now_ms, *, is_overdue=False):  # type: ignore[no-untyped-def]
         pool = self.directory.pool(route.service_of(0))
         self._turn += 1
         return Choice(pool[self._turn % len(pool)], 0, 0, 0, 0, len(pool))
