Send packets at the rate of the instance's link, in order

Cause: the packets of a client's window arrive within 2 ms and in random order. Forwarded at once they overflow the send buffer of a slow link: in the trace of the deployment with links of 2.4 Mbit/s, 60% of the packets of transfers were copies.

Change: `link.egress` queues packets of more than 1,000 bytes of payload and what follows them in their flow. It sends at the rate of the link, by sequence number within a flow and in turns between flows, and drops copies whose original waits or was just sent. Short packets do not wait. `link.rate` starts from the stated rate, is lowered when more than 35% of the packets are copies, and is raised in busy periods without loss. `routing.dispatch` connects both to the process, which wakes when the next packet is due. Links of 100 Mbit/s and more are not paced: processing a packet takes as long.

--- a/src/cardamomtiller/forwarding/link/options.py
+++ b/src/cardamomtiller/forwarding/link/options.py
@@ -2,10 +2,13 @@
 
 from typing import NamedTuple
 
+from cardamomtiller.forwarding.link.egress import DEFAULT_EGRESS, EgressOptions
+from cardamomtiller.forwarding.link.rate import DEFAULT_RATE, RateOptions
+
 
 class LinkOptions(NamedTuple):
     """
-    The link as the settings state it.
+    The link as the settings state it, and how it is shared.
 
     Attributes
     ----------
@@ -14,3 +17,5 @@
     """
 
     bytes_per_ms: float
+    rate: RateOptions = DEFAULT_RATE
+    egress: EgressOptions = DEFAULT_EGRESS
--- a/src/cardamomtiller/forwarding/observation/flows.py
+++ b/src/cardamomtiller/forwarding/observation/flows.py
@@ -11,11 +11,14 @@
 from enum import Enum
 from typing import NamedTuple
 
-from cardamomtiller.forwarding.packet import FlowKey, Packet
+from cardamomtiller.forwarding.packet import (
+    SEQUENCE_MASK,
+    FlowKey,
+    Packet,
+    is_after,
+)
 from cardamomtiller.forwarding.published.upstreams import Upstream
 
-SEQUENCE_MASK = 0xFFFFFFFF
-HALF_SEQUENCE = 1 << 31
 # Shorter than the minimum retransmission timeout of a client, 200 ms.
 RETRANSMISSION_PAUSE_MS = 150
 
@@ -194,8 +197,3 @@
             if now_ms - self._flows[key].last_packet_ms < self._options.idle_ms:
                 return
             yield self._flows.pop(key)
-
-
-def is_after(position: int, other: int) -> bool:
-    """Return whether a sequence number is after another one, modulo 2**32."""
-    return 0 < (position - other & SEQUENCE_MASK) < HALF_SEQUENCE
--- a/src/cardamomtiller/forwarding/packet.py
+++ b/src/cardamomtiller/forwarding/packet.py
@@ -17,6 +17,8 @@
 PORT_BITS = 16
 PORT_MASK = (1 << PORT_BITS) - 1
 BYTE_MASK = 0xFF
+SEQUENCE_MASK = 0xFFFFFFFF
+HALF_SEQUENCE = 1 << 31
 OCTETS = 4
 # By their only text: others, as with a leading zero, mean something else elsewhere.
 OCTET_VALUES = {str(number): number for number in range(BYTE_MASK + 1)}
@@ -108,3 +110,13 @@
     if len(octets) != OCTETS or not all(octet in OCTET_VALUES for octet in octets):
         raise ValueError(f'{describe(text)} is not an IPv4 address')
     return int.from_bytes(bytes(OCTET_VALUES[octet] for octet in octets), 'big')
+
+
+def is_after(position: int, other: int) -> bool:
+    """Return whether a sequence number is after another one, modulo 2**32."""
+    return 0 < (position - other & SEQUENCE_MASK) < HALF_SEQUENCE
+
+
+def sequence_offset(position: int, origin: int) -> int:
+    """Return the signed distance of a sequence number from another, modulo 2**32."""
+    return (position - origin + HALF_SEQUENCE & SEQUENCE_MASK) - HALF_SEQUENCE
--- a/src/cardamomtiller/forwarding/process.py
+++ b/src/cardamomtiller/forwarding/process.py
@@ -18,6 +18,7 @@
 from cardamomtiller.forwarding.replication.replica import Replica
 from cardamomtiller.forwarding.replication.sources import SourceSelector
 from cardamomtiller.forwarding.replication.updating import ReplicaUpdater
+from cardamomtiller.forwarding.routing.dispatch import Dispatcher
 from cardamomtiller.forwarding.routing.forwarder import (
     Delivery,
     Forwarder,
@@ -28,6 +29,7 @@
 from cardamomtiller.forwarding.sockets.rawsocket import datagram_socket
 from cardamomtiller.forwarding.telemetry.decisionlog import DecisionLog
 from cardamomtiller.forwarding.telemetry.meters import Meters
+from cardamomtiller.forwarding.telemetry.reporting import Reporter
 from cardamomtiller.ids import MS_PER_S
 
 if TYPE_CHECKING:
@@ -89,6 +91,12 @@
             self._log,
             self._meters,
         )
+        link = options.forwarding.link
+        self._dispatcher = (
+            None
+            if link is None
+            else Dispatcher(link, Reporter(self._log, self._meters))
+        )
         self._replica = Replica(self._forwarder, decoder, self._log, self._meters)
         self._updater = ReplicaUpdater(
             self._follower, self._replica, self._log, self._meters
@@ -129,6 +137,7 @@
         while not self._is_stopped(monotonic_ms()):
             self._guard(self._poll_once)
             self._guard(self._release_waiting)
+            self._guard(self._send_due)
             now_ms = monotonic_ms()
             if now_ms >= next_tick_ms:
                 next_tick_ms = now_ms + self._options.tick_interval_ms
@@ -152,6 +161,13 @@
     def _release_all_waiting(self) -> None:
         now_ms = monotonic_ms()
         self._send(self._forwarder.release_all_waiting(now_ms), now_ms)
+        if self._dispatcher is not None:
+            self._send_now(self._dispatcher.drain(now_ms), now_ms)
+
+    def _send_due(self) -> None:
+        if self._dispatcher is not None:
+            now_ms = monotonic_ms()
+            self._send_now(self._dispatcher.due(now_ms), now_ms)
 
     def _log_defect(self, error: Exception) -> None:
         import traceback
@@ -177,10 +193,7 @@
 
     def _poll_once(self) -> None:
         """Wait for readable descriptors, at most one tick, and handle them."""
-        wait_ms = self._options.tick_interval_ms
-        if self._forwarder.admission.waiting:
-            wait_ms = self._options.release_interval_ms
-        for descriptor, _ in self._poller.poll(wait_ms / MS_PER_S):
+        for descriptor, _ in self._poller.poll(self._wait_ms() / MS_PER_S):
             if descriptor == self._packet_socket.fileno():
                 self._forward_packets()
             elif descriptor == self._wake_reader:
@@ -191,6 +204,16 @@
             elif self._endpoints is not None:
                 self._endpoints.serve(descriptor, monotonic_ms())
 
+    def _wait_ms(self) -> float:
+        """Return the time until the next periodic work or delivery is due."""
+        wait_ms = self._options.tick_interval_ms
+        if self._forwarder.admission.waiting:
+            wait_ms = self._options.release_interval_ms
+        if self._dispatcher is None:
+            return wait_ms
+        link_wait_ms = self._dispatcher.wait_ms(monotonic_ms())
+        return wait_ms if link_wait_ms is None else min(wait_ms, link_wait_ms)
+
     def _forward_packets(self) -> None:
         now_ms = monotonic_ms()
         self._send(
@@ -201,6 +224,13 @@
             self._run_probes(now_ms)
 
     def _send(self, deliveries: Iterable[Delivery], now_ms: float) -> None:
+        """Send deliveries at once, or as far as the link has room for them."""
+        if self._dispatcher is not None:
+            self._dispatcher.put(deliveries, now_ms)
+            deliveries = self._dispatcher.due(now_ms)
+        self._send_now(deliveries, now_ms)
+
+    def _send_now(self, deliveries: Iterable[Delivery], now_ms: float) -> None:
         for delivery in deliveries:
             try:
                 self._packet_socket.sendto(delivery.datagram, delivery.address)
@@ -277,6 +307,7 @@
             self._run_due_probes,
             self._serve_endpoints,
             self._reload_if_due,
+            self._sweep_link,
             self._update_gauges,
         ):
             self._guard(step)
@@ -287,6 +318,10 @@
         self._forwarder.steadiness = self._replica.steadiness(now_ms)
         self._forwarder.sweep(now_ms)
 
+    def _sweep_link(self) -> None:
+        if self._dispatcher is not None:
+            self._dispatcher.sweep(monotonic_ms())
+
     def _run_due_probes(self) -> None:
         self._run_probes(monotonic_ms())
 
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -64,11 +64,14 @@
     ----------
     packet
         The packet of a client that the datagram carries, None for a reset.
+    priority
+        Rank of the route of the packet, 0 is the most urgent.
     """
 
     address: SocketAddress
     datagram: bytes
     packet: Packet | None = None
+    priority: int = 0
 
 
 class Forwarder:
@@ -304,7 +307,7 @@
         version = self.configuration.version
         self._reporter.flow_placed(packet, route, choice, version, now_ms)
         opening = self._format.with_token(datagram, choice.upstream.token)
-        yield _to_upstream(choice.upstream, opening, packet)
+        yield _to_upstream(choice.upstream, opening, packet, route)
 
     def _place(
         self,
@@ -374,7 +377,8 @@
             yield self._reset_flow(packet, upstream, ResetReason.UNREACHABLE, now_ms)
             return
         self._reporter.meters.count('packets_forwarded')
-        yield _to_upstream(upstream, datagram, packet)
+        route = self.configuration.routes.get(packet.flow.route)
+        yield _to_upstream(upstream, datagram, packet, route)
 
     def _refuse_unknown(self, packet: Packet, now_ms: float) -> Iterator[Delivery]:
         """Drop a packet with an unknown token; reset the flow if the upstream is gone."""
@@ -424,5 +428,9 @@
         yield from forwarder.handle(datagram, now_ms)
 
 
-def _to_upstream(upstream: Upstream, datagram: bytes, packet: Packet) -> Delivery:
-    return Delivery(upstream.entry.address, upstream.entry.frame + datagram, packet)
+def _to_upstream(
+    upstream: Upstream, datagram: bytes, packet: Packet, route: Route | None
+) -> Delivery:
+    entry = upstream.entry
+    priority = 0 if route is None else route.priority
+    return Delivery(entry.address, entry.frame + datagram, packet, priority)
--- /dev/null
+++ b/tests/features/forwarding_link.feature
@@ -0,0 +1,32 @@
+Feature: Bulk transfers and short requests share a slow link
+
+  Scenario: Windows of transfers overflow the send buffer of the link
+    Then a model link loses most of what is sent at once
+    And at the stated rate hardly any packet is repeated, also when timers fire late
+    And more than a few packets are never sent at once
+
+  Scenario: A transfer keeps short packets and other flows from the link
+    Then openings, acknowledgements and resets are sent before waiting payload
+    And flows take turns, urgent ones with more packets in each turn
+    And short packets that fill the link do not stop a transfer
+
+  Scenario: Packets of a flow leave in another order than its sequence numbers
+    Then waiting payload leaves in order, also where the numbers wrap around
+    And a closing packet leaves after the payload before it
+    And a reset of the client discards what waits
+
+  Scenario: Copies fill the link, or a lost packet is never repeated
+    Then a copy is dropped while its original waits or was just sent
+    And a copy of a packet that was sent earlier is sent
+
+  Scenario: The queue grows without bound, or loses what it holds
+    Then the packets that wait are bounded, and the longest flow loses its last one
+    And a process that stops sends what waits
+
+  Scenario: The stated rate of the link is wrong
+    Then a link slower than stated carries transfers sooner than without a queue
+    And a faster link, and one that loses packets, carries them in time
+    And the rate stays within its bounds, and a silent upstream does not change it
+
+  Scenario: Pacing costs time where the link is wide
+    Then a wide link lets all packets pass without a wake-up
