Suspect no upstream for silence that the instance's link explains

Cause: a client repeats a packet after 200 ms, whether the upstream is silent or the packet waits for the link of the instance. With many transfers on one link, upstreams that were alive became suspected (522 times in 8 s in the trace of the deployment), and probes that a busy link delays made them unreachable.

Change: `link.evidence` keeps until when the queue is long (50 ms) or the link has just lost packets. Missing answers since then are not counted, not reported to others, and a probe that times out is tried again. It excuses 500 ms of silence at most: the second repetition after 600 ms counts, so an upstream that fails during a burst is found.

Result: with 100 ms of waiting packets two silent flows make no upstream suspected after 200 and 400 ms, and do after 600 ms; under a link that stays busy an upstream is unreachable within 1,500 ms of its suspicion.

--- a/src/cardamomtiller/forwarding/link/options.py
+++ b/src/cardamomtiller/forwarding/link/options.py
@@ -3,6 +3,10 @@
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.link.egress import DEFAULT_EGRESS, EgressOptions
+from cardamomtiller.forwarding.link.evidence import (
+    DEFAULT_EVIDENCE,
+    EvidenceOptions,
+)
 from cardamomtiller.forwarding.link.rate import DEFAULT_RATE, RateOptions
 
 
@@ -19,3 +23,4 @@
     bytes_per_ms: float
     rate: RateOptions = DEFAULT_RATE
     egress: EgressOptions = DEFAULT_EGRESS
+    evidence: EvidenceOptions = DEFAULT_EVIDENCE
--- a/src/cardamomtiller/forwarding/link/rate.py
+++ b/src/cardamomtiller/forwarding/link/rate.py
@@ -60,11 +60,14 @@
     ----------
     bytes_per_ms
         Current estimate.
+    lowered_ms
+        Time at which it was last lowered.
     """
 
     def __init__(self, stated_bytes_per_ms: float, options: RateOptions) -> None:
         """Start from the stated rate."""
         self.bytes_per_ms = stated_bytes_per_ms
+        self.lowered_ms = -inf
         self._stated_bytes_per_ms = stated_bytes_per_ms
         self._options = options
         self._sent = 0
@@ -100,6 +103,7 @@
 
     def _lower(self, now_ms: float) -> None:
         stated = self._stated_bytes_per_ms
+        self.lowered_ms = now_ms
         if self.bytes_per_ms > stated:
             self._no_growth_until_ms = now_ms + self._options.growth_pause_ms
             self.bytes_per_ms = stated
--- a/src/cardamomtiller/forwarding/observation/flows.py
+++ b/src/cardamomtiller/forwarding/observation/flows.py
@@ -67,6 +67,7 @@
         'key',
         'last_packet_ms',
         'last_payload_ms',
+        'progressed_ms',
         'request_started_ms',
         'requests',
         'retransmissions',
@@ -82,6 +83,8 @@
         self.upstream = upstream
         self.last_payload_ms = now_ms
         self.last_packet_ms = now_ms
+        # Arrival of the last packet that was not a copy, the opening one included.
+        self.progressed_ms = now_ms
         self.is_opened = False
         # Whether the opening packet came through this instance.
         self.is_opened_here = False
@@ -137,6 +140,7 @@
             self.retransmissions += 1
             return Observation.RETRANSMISSION
         self.sent_sequence = packet.sequence
+        self.progressed_ms = now_ms
         if self.unanswered_since_ms is None:
             self.unanswered_since_ms = now_ms
         if self.request_started_ms is not None and not is_answered:
--- a/src/cardamomtiller/forwarding/observation/reachability.py
+++ b/src/cardamomtiller/forwarding/observation/reachability.py
@@ -109,6 +109,13 @@
         path = self._paths.get(token)
         return path.state if path else PathState.REACHABLE
 
+    def suspected_since_ms(self, token: Token) -> float | None:
+        """Return since when an upstream is suspected, None if it is not."""
+        path = self._paths.get(token)
+        if path is None or path.state is not PathState.SUSPECTED:
+            return None
+        return path.changed_ms
+
     def tracked_tokens(self) -> list[Token]:
         """Return the tokens of all suspected and unreachable upstreams."""
         return list(self._paths)
--- a/src/cardamomtiller/forwarding/process.py
+++ b/src/cardamomtiller/forwarding/process.py
@@ -95,7 +95,11 @@
         self._dispatcher = (
             None
             if link is None
-            else Dispatcher(link, Reporter(self._log, self._meters))
+            else Dispatcher(
+                link,
+                self._forwarder.observer.evidence,
+                Reporter(self._log, self._meters),
+            )
         )
         self._replica = Replica(self._forwarder, decoder, self._log, self._meters)
         self._updater = ReplicaUpdater(
--- a/src/cardamomtiller/forwarding/routing/dispatch.py
+++ b/src/cardamomtiller/forwarding/routing/dispatch.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Iterator
 
 from cardamomtiller.forwarding.link.egress import EgressQueue, PutResult
+from cardamomtiller.forwarding.link.evidence import LinkEvidence
 from cardamomtiller.forwarding.link.options import LinkOptions
 from cardamomtiller.forwarding.link.rate import LinkRate
 from cardamomtiller.forwarding.routing.forwarder import Delivery
@@ -12,18 +13,26 @@
 class Dispatcher:
     """Queue of the deliveries that wait for the link, with its counters."""
 
-    def __init__(self, options: LinkOptions, reporter: Reporter) -> None:
+    def __init__(
+        self, options: LinkOptions, evidence: LinkEvidence, reporter: Reporter
+    ) -> None:
         """Start with an empty queue, at the stated rate."""
         self._reporter = reporter
+        self._evidence = evidence
         self._rate = LinkRate(options.bytes_per_ms, options.rate)
         self._egress: EgressQueue[Delivery] = EgressQueue(self._rate, options.egress)
 
     def put(self, deliveries: Iterable[Delivery], now_ms: float) -> None:
         """Add deliveries to the queue."""
+        is_growing = False
         for delivery in deliveries:
             result = self._egress.put(delivery, now_ms)
             if result is not PutResult.READY:
                 self._reporter.meters.count(f'link_{result.value}')
+                is_growing = True
+        if is_growing:
+            self._evidence.record_backlog(self._egress.backlog_ms(now_ms), now_ms)
+            self._evidence.record_loss(self._rate.lowered_ms)
 
     def due(self, now_ms: float) -> Iterator[Delivery]:
         """Remove and iterate over the deliveries that may be sent now."""
--- a/src/cardamomtiller/forwarding/routing/observing.py
+++ b/src/cardamomtiller/forwarding/routing/observing.py
@@ -4,6 +4,7 @@
 from math import exp
 
 from cardamomtiller.forwarding.admission.limit import StartWindow
+from cardamomtiller.forwarding.link.evidence import DEFAULT_EVIDENCE, LinkEvidence
 from cardamomtiller.forwarding.observation.flows import Flow, FlowTable, Observation
 from cardamomtiller.forwarding.observation.load import LoadTable, UpstreamLoad
 from cardamomtiller.forwarding.observation.outcomes import (
@@ -49,6 +50,8 @@
         self._flows = FlowTable(options.flows)
         self.loads = LoadTable()
         self.reachability = Reachability(options.reachability)
+        evidence = DEFAULT_EVIDENCE if options.link is None else options.link.evidence
+        self.evidence = LinkEvidence(evidence)
         self._newly_unreachable: list[Upstream] = []
         self._start_window = start_window
         self._answer_sizes = AnswerSizes(options.outcomes)
@@ -67,9 +70,10 @@
         flow = self._flows.find(packet.flow)
         if flow is None or not packet.copy_number:
             return None
-        self.loads.get_or_create(flow.upstream.token).record_unanswered_open()
-        self._suspect(flow.upstream, 'open_unanswered', now_ms)
         self._reporter.meters.count('opens_repeated')
+        if not self._is_excused(flow, 'open_unanswered', now_ms):
+            self.loads.get_or_create(flow.upstream.token).record_unanswered_open()
+            self._suspect(flow.upstream, 'open_unanswered', now_ms)
         return flow.upstream.entry.upstream
 
     def retain_routes(self, routes: Iterable[RouteAddress]) -> None:
@@ -142,15 +146,23 @@
         upstream = self._directory.by_token(token)
         if upstream is not None and self._declare_superseded(upstream, now_ms):
             return
-        if upstream is not None and self._is_inconclusive(upstream, result):
+        if upstream is not None and self._is_inconclusive(upstream, result, now_ms):
             self.reachability.postpone_probe(token, now_ms)
             return
         change = self.reachability.handle_probe_result(token, result, now_ms)
         if change is not None:
             self.handle_reachability_change(change, now_ms)
 
-    def _is_inconclusive(self, upstream: Upstream, result: ProbeResult) -> bool:
+    def _is_inconclusive(
+        self, upstream: Upstream, result: ProbeResult, now_ms: float
+    ) -> bool:
         """Return whether a probe does not tell whether an upstream lives."""
+        if result is ProbeResult.TIMED_OUT:
+            since_ms = self.reachability.suspected_since_ms(upstream.token)
+            if since_ms is None or not self.evidence.explains_silence(since_ms, now_ms):
+                return False
+            self._reporter.silence_excused(upstream, 'probe_timed_out', now_ms)
+            return True
         if result is ProbeResult.REFUSED:
             # An upstream that drains stops listening before its last flows have ended.
             return upstream.state is UpstreamState.DRAINING
@@ -261,7 +273,17 @@
         if flow.target_latency_ms is not None:
             self._start_window.record_answer(latency_ms, flow.target_latency_ms)
 
+    def _is_excused(self, flow: Flow, evidence: str, now_ms: float) -> bool:
+        """Return whether the link explains why a packet of a flow has no answer yet."""
+        if not self.evidence.explains_silence(flow.progressed_ms, now_ms):
+            return False
+        self._reporter.silence_excused(flow.upstream, evidence, now_ms)
+        return True
+
     def _handle_retransmission(self, flow: Flow, now_ms: float) -> None:
+        if self._is_excused(flow, 'requests_unanswered', now_ms):
+            flow.retransmissions -= 1
+            return
         load = self.loads.get_or_create(flow.upstream.token)
         if flow.retransmissions == 1:
             load.record_retransmitting_flow()
--- a/src/cardamomtiller/forwarding/telemetry/reporting.py
+++ b/src/cardamomtiller/forwarding/telemetry/reporting.py
@@ -110,6 +110,16 @@
             else round(now_ms - last_response_ms),
         )
 
+    def silence_excused(self, upstream: Upstream, evidence: str, now_ms: float) -> None:
+        """Report a missing answer that the link of the instance explains."""
+        self.meters.count('silences_excused')
+        self._log.write(
+            'silence_excused',
+            now_ms,
+            upstream=upstream.entry.upstream,
+            reason=evidence,
+        )
+
     def reachability_changed(
         self,
         change: PathChange,
--- a/tests/features/forwarding_link.feature
+++ b/tests/features/forwarding_link.feature
@@ -30,3 +30,12 @@
 
   Scenario: Pacing costs time where the link is wide
     Then a wide link lets all packets pass without a wake-up
+
+  Scenario: A busy link makes upstreams suspected that are alive
+    Then silence while the queue of the link is long is no evidence, nor reported
+    And a probe that times out meanwhile is inconclusive
+    And silence on a link that loses packets is no evidence
+
+  Scenario: An upstream that fails during a burst is not found
+    Then silence is evidence on an idle link, and after half a second on a busy one
+    And a probe of an upstream that is suspected for longer counts
