Suspect an upstream for reports only if two instances agree

Cause: load reports add up unanswered requests, so one instance that is cut off or whose link loses packets made all others suspect the upstreams that it reports.

Change: an instance reports at most 1.0 unanswered request for an upstream, below the 1.5 at which others suspect it, and an aggregator bounds the reports that it adds up in the same way. The sum reaches 1.5 only with two reporters. The messages keep their format and size.

Result: a report of 50 unanswered requests by one instance suspects nothing, by two it does, also through the aggregator of another failure domain.

--- a/src/cardamomtiller/forwarding/fleet/loadsharing.py
+++ b/src/cardamomtiller/forwarding/fleet/loadsharing.py
@@ -29,6 +29,11 @@
 
 # Lower bound of the rows of a report in a failure domain with many members.
 MIN_REPORT_ROWS = 16
+# Unanswered requests that one instance reports at most for an upstream. Below the number
+# at which others suspect it (`ForwardingOptions.unanswered_threshold`), so that a sum of
+# reports reaches that number only if at least two instances agree: one instance may be
+# cut off, or its link may lose packets.
+MAX_REPORTED_UNANSWERED = 1.0
 
 
 class SharingOptions(NamedTuple):
@@ -151,6 +156,7 @@
         """Store a received report; return the answer to send, if there is one."""
         received = ReceivedReport(report.rows, now_ms)
         if report.kind is ReportKind.INSTANCE:
+            received = ReceivedReport(tuple(_bounded_rows(report.rows)), now_ms)
             self._reports_by_host[sender.host] = received
             rows = tuple(self._rows_excluding(sender.host, now_ms))
             max_rows = self._max_rows(len(self._reports_by_host))
@@ -216,7 +222,7 @@
 
     def _local_rows(self, now_ms: float) -> Iterator[LoadRow]:
         for token, load in self._loads:
-            unanswered = load.unanswered(now_ms)
+            unanswered = min(MAX_REPORTED_UNANSWERED, load.unanswered(now_ms))
             is_idle = max(load.mean_busy, unanswered) <= 1 / SCALE
             if not is_idle or load.answers > 1 / ANSWER_SCALE:
                 yield LoadRow(
@@ -274,6 +280,13 @@
     yield from sums.values()
 
 
+def _bounded_rows(rows: Iterable[LoadRow]) -> Iterator[LoadRow]:
+    """Bound the unanswered requests in the report of one instance."""
+    for row in rows:
+        unanswered = min(MAX_REPORTED_UNANSWERED, row.unanswered)
+        yield row._replace(unanswered=unanswered)
+
+
 def _add(first: LoadRow, second: LoadRow) -> LoadRow:
     return LoadRow(
         first.token,
--- a/tests/features/forwarding_link.feature
+++ b/tests/features/forwarding_link.feature
@@ -39,3 +39,7 @@
   Scenario: An upstream that fails during a burst is not found
     Then silence is evidence on an idle link, and after half a second on a busy one
     And a probe of an upstream that is suspected for longer counts
+
+  Scenario: The reports of one instance that is cut off make the others suspect upstreams
+    Then one instance alone makes no other one suspect an upstream, two do
+    And the rule holds across failure domains, and for reports without a bound
--- a/tests/features/steps/forwarding_link_evidence_steps.py
+++ b/tests/features/steps/forwarding_link_evidence_steps.py
@@ -2,18 +2,32 @@
 
 from behave import then
 
+from cardamomtiller.forwarding.fleet.loadreport import (
+    LoadReport,
+    LoadRow,
+    ReportKind,
+)
+from cardamomtiller.forwarding.fleet.loadsharing import (
+    DEFAULT_SHARING,
+    MAX_REPORTED_UNANSWERED,
+    LoadSharing,
+)
 from cardamomtiller.forwarding.link.options import LinkOptions
+from cardamomtiller.forwarding.observation.load import LoadTable
 from cardamomtiller.forwarding.observation.reachability import PathState, ProbeResult
+from cardamomtiller.forwarding.packet import Token
 from cardamomtiller.forwarding.routing.dispatch import Dispatcher
 from cardamomtiller.forwarding.telemetry.decisionlog import DecisionLog, LogOptions
 from cardamomtiller.forwarding.telemetry.meters import Meters
 from cardamomtiller.forwarding.telemetry.reporting import Reporter
 from tests import forwarding_rig as rig
 from tests.link_rig import payload
+from tests.replica_rig import member
 
 LINK = LinkOptions(bytes_per_ms=300)
 OPTIONS = rig.FORWARDING_WITHOUT_LIMIT._replace(link=LINK)
 START_MS = 10_000
+TOKEN = Token(7)
 
 
 def silent_forwarder():
@@ -108,3 +122,63 @@
     for age_ms in range(0, 3000, 50):
         fill_link(forwarder, START_MS + age_ms)
     assert probe_until_unreachable(forwarder, token, START_MS) <= 1500
+
+
+def sharing_of(number, domain='a'):
+    """Return the load reports of one instance, without any load."""
+    return LoadSharing(member(number, domain), LoadTable(), DEFAULT_SHARING)
+
+
+def suspicious_report(kind, unanswered=50):
+    """Return a report that one upstream left many requests unanswered."""
+    row = LoadRow(TOKEN, busy=0, unanswered=unanswered)
+    return LoadReport(kind, (row,))
+
+
+def state_after_reports(*reports):
+    """Return the state of an upstream at an instance that got these reports."""
+    forwarder = rig.make_forwarder(('u-1',))
+    (token,) = {rig.open_flow(forwarder, 1000, START_MS)}
+    loads = forwarder.observer.loads
+    sharing = LoadSharing(member(1), loads, DEFAULT_SHARING)
+    for number, domain, report in reports:
+        rows = tuple(row._replace(token=token) for row in report.rows)
+        sharing.handle_report(
+            member(number, domain), report._replace(rows=rows), START_MS
+        )
+    sharing.update_loads(START_MS)
+    forwarder.sweep(START_MS)
+    return forwarder.observer.reachability.state(token)
+
+
+@then('one instance alone makes no other one suspect an upstream, two do')
+def step_one_reporter(context):
+    report = suspicious_report(ReportKind.INSTANCE)
+    first, second = (2, 'a', report), (3, 'a', report)
+    assert state_after_reports(first) is PathState.REACHABLE
+    assert state_after_reports(first, second) is PathState.SUSPECTED
+
+
+def domain_report(reporters):
+    """Return what an aggregator tells other failure domains about its reporters."""
+    aggregator = sharing_of(10, 'b')
+    for number in range(reporters):
+        report = suspicious_report(ReportKind.INSTANCE)
+        aggregator.handle_report(member(11 + number, 'b'), report, START_MS)
+    answer = aggregator.handle_report(
+        member(1), LoadReport(ReportKind.DOMAIN, ()), START_MS
+    )
+    return 10, 'b', answer
+
+
+@then('the rule holds across failure domains, and for reports without a bound')
+def step_domains(context):
+    assert state_after_reports(domain_report(1)) is PathState.REACHABLE
+    assert state_after_reports(domain_report(2)) is PathState.SUSPECTED
+    local = sharing_of(2)
+    load = local._loads.get_or_create(TOKEN)
+    for _ in range(5):
+        load.record_unanswered_request(START_MS)
+    peers = [member(1, capacity=10_000)]
+    ((_, report),) = local.due_reports(peers, START_MS)
+    assert report.rows[0].unanswered <= MAX_REPORTED_UNANSWERED
