Return to the stated link rate at the first signs of loss

Cause: above the stated rate only 35% of copies lowered the rate. A link of a fixed rate loses less than that until it is exceeded by half, so a rate that had grown would have stayed too high.

Change: above the stated rate 10% of copies restore it, and it grows only in samples with at most 2% of copies.

Feature link passes (10 scenarios).

--- a/src/cardamomtiller/forwarding/link/rate.py
+++ b/src/cardamomtiller/forwarding/link/rate.py
@@ -29,6 +29,10 @@
         the right rate and 60% on a link that overflowed. A path that loses 5% causes
         27% of copies in the model, because a client repeats the rest of its window; a
         lower rate does not help there and made transfers 2.5 times longer.
+    excess_loss_share
+        The same above the stated rate, where a return to it does no harm.
+    growth_loss_share
+        Share of copies up to which the rate grows beyond the stated rate.
     decrease
         Factor of the rate on loss.
     recovery_per_s
@@ -46,6 +50,8 @@
     unpaced_bytes_per_ms: float
     sample_packets: int
     loss_share: float
+    excess_loss_share: float
+    growth_loss_share: float
     decrease: float
     recovery_per_s: float
     growth_per_s: float
@@ -93,10 +99,15 @@
         self._sent += 1
         if self._sent < self._options.sample_packets:
             return
-        if self._losses >= self._options.loss_share * self._sent:
+        losses_share = self._losses / self._sent
+        is_excess = self.bytes_per_ms > self._stated_bytes_per_ms
+        limit = self._options.loss_share
+        if is_excess:
+            limit = self._options.excess_loss_share
+        if losses_share >= limit:
             self._lower(now_ms)
         else:
-            self._raise(now_ms)
+            self._raise(losses_share, now_ms)
         self._busy_ms = 0
         self._sent = 0
         self._losses = 0
@@ -111,13 +122,15 @@
         lowest = stated * self._options.min_share
         self.bytes_per_ms = max(lowest, self.bytes_per_ms * self._options.decrease)
 
-    def _raise(self, now_ms: float) -> None:
+    def _raise(self, losses_share: float, now_ms: float) -> None:
         stated = self._stated_bytes_per_ms
         busy_s = self._busy_ms / MS_PER_S
         if self.bytes_per_ms < stated:
             step = stated * self._options.recovery_per_s * busy_s
             self.bytes_per_ms = min(stated, self.bytes_per_ms + step)
-        elif now_ms >= self._no_growth_until_ms:
+            return
+        is_clean = losses_share <= self._options.growth_loss_share
+        if is_clean and now_ms >= self._no_growth_until_ms:
             step = stated * self._options.growth_per_s * busy_s
             highest = stated * self._options.max_share
             self.bytes_per_ms = min(highest, self.bytes_per_ms + step)
@@ -129,6 +142,8 @@
     unpaced_bytes_per_ms=12_500,
     sample_packets=64,
     loss_share=0.35,
+    excess_loss_share=0.1,
+    growth_loss_share=0.02,
     decrease=0.7,
     recovery_per_s=0.1,
     growth_per_s=0.02,
--- a/tests/features/steps/forwarding_link_steps.py
+++ b/tests/features/steps/forwarding_link_steps.py
@@ -195,6 +195,10 @@
         clean.record_sent(0)
     assert lossy.bytes_per_ms == BYTES_PER_MS / 4
     assert clean.bytes_per_ms == 2 * BYTES_PER_MS
+    clean.record_losses(10)
+    for _ in range(DEFAULT_RATE.sample_packets):
+        clean.record_sent(0)
+    assert clean.bytes_per_ms == BYTES_PER_MS, 'a rate above the stated one is kept'
     silent = LinkModel(BYTES_PER_MS, loss=1.0)
     for number in range(10):
         silent.transfer((f'client-{number}', 1), TRANSFER_BYTES)
