Admit few bulk transfers to a link at a time

Cause: each transfer keeps 16 packets in flight, so more than two on a link of 2.4 Mbit/s wait longer than the retransmission timeout of 200 ms. Ten that begin together all end after 2.8 s against an objective of 1.5 s, while neighbours are idle.

Change: `link.transfers` learns the size of the requests of each route, and knows which transfers are in progress. An opening of a bulk route (half a window and more) waits while as many share the link as it carries within 150 ms, and is reset when it would miss the objective by waiting or the timeout of its route. Other routes, an idle link and a link that is not paced take every opening. `routing.transferopenings` keeps the openings that wait, in a queue like that of admission.

--- a/src/cardamomtiller/forwarding/link/options.py
+++ b/src/cardamomtiller/forwarding/link/options.py
@@ -8,6 +8,10 @@
     EvidenceOptions,
 )
 from cardamomtiller.forwarding.link.rate import DEFAULT_RATE, RateOptions
+from cardamomtiller.forwarding.link.transfers import (
+    DEFAULT_TRANSFERS,
+    TransferOptions,
+)
 
 
 class LinkOptions(NamedTuple):
@@ -24,3 +28,4 @@
     rate: RateOptions = DEFAULT_RATE
     egress: EgressOptions = DEFAULT_EGRESS
     evidence: EvidenceOptions = DEFAULT_EVIDENCE
+    transfers: TransferOptions = DEFAULT_TRANSFERS
--- a/src/cardamomtiller/forwarding/process.py
+++ b/src/cardamomtiller/forwarding/process.py
@@ -91,16 +91,7 @@
             self._log,
             self._meters,
         )
-        link = options.forwarding.link
-        self._dispatcher = (
-            None
-            if link is None
-            else Dispatcher(
-                link,
-                self._forwarder.observer.evidence,
-                Reporter(self._log, self._meters),
-            )
-        )
+        self._dispatcher = self._make_dispatcher()
         self._replica = Replica(self._forwarder, decoder, self._log, self._meters)
         self._updater = ReplicaUpdater(
             self._follower, self._replica, self._log, self._meters
@@ -158,10 +149,19 @@
             self._log_defect(error)
 
     def _release_waiting(self) -> None:
-        if self._forwarder.admission.waiting:
+        if self._forwarder.waiting:
             now_ms = monotonic_ms()
             self._send(self._forwarder.release_waiting(now_ms), now_ms)
 
+    def _make_dispatcher(self) -> Dispatcher | None:
+        options = self._options.forwarding.link
+        rate = self._forwarder.transfer_openings.rate
+        if options is None or rate is None:
+            return None
+        evidence = self._forwarder.observer.evidence
+        reporter = Reporter(self._log, self._meters)
+        return Dispatcher(options, rate, evidence, reporter)
+
     def _release_all_waiting(self) -> None:
         now_ms = monotonic_ms()
         self._send(self._forwarder.release_all_waiting(now_ms), now_ms)
@@ -211,7 +211,7 @@
     def _wait_ms(self) -> float:
         """Return the time until the next periodic work or delivery is due."""
         wait_ms = self._options.tick_interval_ms
-        if self._forwarder.admission.waiting:
+        if self._forwarder.waiting:
             wait_ms = self._options.release_interval_ms
         if self._dispatcher is None:
             return wait_ms
@@ -347,6 +347,9 @@
         self._meters.set_gauge('replica_age_ms', self._replica.age_ms(monotonic_ms()))
         self._meters.set_gauge('opens_abandoned', admission.abandoned)
         self._meters.set_gauge('opens_waiting', admission.waiting)
+        transfers = self._forwarder.transfer_openings
+        self._meters.set_gauge('transfers_abandoned', transfers.abandoned)
+        self._meters.set_gauge('transfers_waiting', len(transfers))
         self._meters.set_gauge('log_lines_suppressed', self._log.suppressed)
 
     def _reload(self, now_ms: float) -> None:
--- a/src/cardamomtiller/forwarding/routing/dispatch.py
+++ b/src/cardamomtiller/forwarding/routing/dispatch.py
@@ -14,12 +14,16 @@
     """Queue of the deliveries that wait for the link, with its counters."""
 
     def __init__(
-        self, options: LinkOptions, evidence: LinkEvidence, reporter: Reporter
+        self,
+        options: LinkOptions,
+        rate: LinkRate,
+        evidence: LinkEvidence,
+        reporter: Reporter,
     ) -> None:
-        """Start with an empty queue, at the stated rate."""
+        """Start with an empty queue."""
         self._reporter = reporter
         self._evidence = evidence
-        self._rate = LinkRate(options.bytes_per_ms, options.rate)
+        self._rate = rate
         self._egress: EgressQueue[Delivery] = EgressQueue(self._rate, options.egress)
 
     def put(self, deliveries: Iterable[Delivery], now_ms: float) -> None:
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -10,6 +10,7 @@
 )
 from cardamomtiller.forwarding.admission.limit import StartWindow
 from cardamomtiller.forwarding.admission.waitqueue import WaitingOpening
+from cardamomtiller.forwarding.link.transfers import TransferVerdict
 from cardamomtiller.forwarding.observation.flows import Flow
 from cardamomtiller.forwarding.observation.unknowntokens import (
     NOT_STEADY,
@@ -42,6 +43,7 @@
 )
 from cardamomtiller.forwarding.routing.observing import Observer
 from cardamomtiller.forwarding.routing.options import ForwardingOptions
+from cardamomtiller.forwarding.routing.transferopenings import TransferOpenings
 from cardamomtiller.forwarding.telemetry.decisionlog import DecisionLog
 from cardamomtiller.forwarding.telemetry.meters import Meters
 from cardamomtiller.forwarding.telemetry.reporting import (
@@ -127,8 +129,14 @@
             start_window,
             self._gates,
         )
+        self.transfer_openings = TransferOpenings(options)
         self.steadiness = NOT_STEADY
 
+    @property
+    def waiting(self) -> int:
+        """Number of opening packets that wait."""
+        return self.admission.waiting + len(self.transfer_openings)
+
     def apply_configuration(self, configuration: Configuration, now_ms: float) -> None:
         """
         Apply a configuration, unless its version is older than the current one.
@@ -143,6 +151,7 @@
             self.configuration = configuration
             self.directory.add_services(configuration.services)
             self.observer.retain_routes(configuration.routes)
+            self.transfer_openings.retain_routes(configuration.routes)
             self._reporter.configuration_applied(configuration, previous, now_ms)
 
     def is_outdated(self, change: DecodedRecord | None) -> bool:
@@ -218,6 +227,9 @@
 
     def release_waiting(self, now_ms: float) -> Iterator[Delivery]:
         """Place the flows whose opening packets have waited long enough."""
+        for transfer in self.transfer_openings.release(now_ms):
+            self._reporter.transfer_released(transfer, now_ms)
+            yield from self._admit_waiting(transfer, now_ms)
         for release in self.admission.release(now_ms):
             self._reporter.opening_released(release, now_ms)
             is_overdue = release.reason is ReleaseReason.AGE
@@ -227,6 +239,8 @@
 
     def release_all_waiting(self, now_ms: float) -> Iterator[Delivery]:
         """Place all flows whose opening packets wait, before the process stops."""
+        for transfer in self.transfer_openings.release_all():
+            yield from self._place_waiting(transfer, now_ms, is_overdue=True)
         for opening in self.admission.release_all():
             yield from self._place_waiting(opening, now_ms, is_overdue=True)
 
@@ -244,6 +258,7 @@
             self._reporter.evacuation_changed(domain, 'ended', now_ms)
         for upstream in self.directory.expire(now_ms):
             self._reporter.upstream_changed(upstream, 'entry_expired', now_ms)
+        self.transfer_openings.expire(now_ms)
         self.observer.sweep(now_ms)
 
     def _open_flow(
@@ -260,12 +275,35 @@
         if packet.copy_number and self.observer.has_flow(packet.flow):
             yield from self._place_flow(packet, datagram, route, now_ms)
             return
+        transfer = self.transfer_openings.decide(packet, datagram, route, now_ms)
+        if transfer.verdict is TransferVerdict.FORWARD:
+            yield from self._admit(packet, datagram, route, now_ms)
+            return
+        self._reporter.transfer_postponed(packet, route, transfer, now_ms)
+        if transfer.verdict is TransferVerdict.REJECT and not packet.copy_number:
+            yield self._reset_delivery(packet.flow, packet.acknowledged)
+
+    def _admit_waiting(
+        self, opening: WaitingOpening, now_ms: float
+    ) -> Iterator[Delivery]:
+        """Continue with an opening packet that has waited for the link."""
+        route = self.configuration.routes.get(opening.packet.flow.route)
+        if route is None:
+            yield from self._refuse_unrouted(opening.packet, now_ms)
+            return
+        yield from self._admit(opening.packet, opening.datagram, route, now_ms)
+
+    def _admit(
+        self, packet: Packet, datagram: bytes, route: Route, now_ms: float
+    ) -> Iterator[Delivery]:
         service = route.service_of(hash_flow(packet.flow))
         decision = self.admission.decide(packet, datagram, route, service, now_ms)
         if decision.verdict is Verdict.FORWARD:
             yield from self._place_flow(packet, datagram, route, now_ms)
             return
         self._reporter.opening_postponed(packet, service, decision, now_ms)
+        if decision.verdict is Verdict.REJECT:
+            self.transfer_openings.cancel(packet.flow)
         # A copy may arrive after another instance has opened the flow, and a reset would
         # end it then.
         if decision.verdict is Verdict.REJECT and not packet.copy_number:
@@ -376,6 +414,7 @@
         if packet.payload_bytes and self.observer.is_unreachable(upstream):
             yield self._reset_flow(packet, upstream, ResetReason.UNREACHABLE, now_ms)
             return
+        self.transfer_openings.record_packet(packet, now_ms)
         self._reporter.meters.count('packets_forwarded')
         route = self.configuration.routes.get(packet.flow.route)
         yield _to_upstream(upstream, datagram, packet, route)
--- a/src/cardamomtiller/forwarding/telemetry/reporting.py
+++ b/src/cardamomtiller/forwarding/telemetry/reporting.py
@@ -3,6 +3,8 @@
 from enum import Enum
 
 from cardamomtiller.forwarding.admission.control import Decision, Release
+from cardamomtiller.forwarding.admission.waitqueue import WaitingOpening
+from cardamomtiller.forwarding.link.transfers import TransferDecision
 from cardamomtiller.forwarding.observation.reachability import PathChange
 from cardamomtiller.forwarding.observation.unknowntokens import Steadiness
 from cardamomtiller.forwarding.packet import FlowKey, Packet, Token, format_flow
@@ -206,6 +208,38 @@
             waiting=release.waiting,
         )
 
+    def transfer_postponed(
+        self, packet: Packet, route: Route, decision: TransferDecision, now_ms: float
+    ) -> None:
+        """Report an opening packet that waits or is rejected for lack of link time."""
+        self.meters.count(f'transfers_{decision.verdict.value}')
+        self._log.write(
+            'transfer_postponed',
+            now_ms,
+            flow=format_flow(packet.flow),
+            copy=packet.copy_number,
+            route=route.name,
+            outcome=decision.verdict.value,
+            in_progress=decision.in_progress,
+            expected_bytes=round(decision.expected_bytes),
+            wait_ms=round(decision.wait_ms),
+            finish_ms=round(decision.finish_ms),
+        )
+
+    def transfer_released(self, opening: WaitingOpening, now_ms: float) -> None:
+        """Report that an opening packet does not wait for the link any longer."""
+        wait_ms = now_ms - opening.arrived_ms
+        self.meters.count('transfers_released')
+        self.meters.observe('transfer_wait_ms', wait_ms)
+        self._log.write(
+            'transfer_released',
+            now_ms,
+            flow=format_flow(opening.packet.flow),
+            route=opening.route.name,
+            waited_ms=round(wait_ms),
+            age_ms=round(now_ms - opening.opened_ms),
+        )
+
     def packet_dropped(
         self,
         reason: DropReason,
--- a/tests/features/forwarding_link.feature
+++ b/tests/features/forwarding_link.feature
@@ -43,3 +43,13 @@
   Scenario: The reports of one instance that is cut off make the others suspect upstreams
     Then one instance alone makes no other one suspect an upstream, two do
     And the rule holds across failure domains, and for reports without a bound
+
+  Scenario: Ten transfers begin on one slow link while its neighbours are idle
+    Then few transfers share the link, others wait, and those that would be late are reset
+    And a waiting transfer begins when another one ends, or its client stops
+    And what the link cannot carry before the timeout of its route is reset at once
+
+  Scenario: The limit of transfers keeps out what the link could carry
+    Then short routes, an idle link and a wide one take every opening
+    And a copy of an opening that waits is not reset, and a process that stops sends it
+    And the size of a route follows its requests, not those that moved or were aborted
--- a/tests/features/steps/forwarding_link_evidence_steps.py
+++ b/tests/features/steps/forwarding_link_evidence_steps.py
@@ -41,7 +41,8 @@
     """Let 100 ms of packets wait for the link."""
     log = DecisionLog('test', LogOptions(100, 100, 100), lambda: 0.0)
     evidence = forwarder.observer.evidence
-    dispatcher = Dispatcher(LINK, evidence, Reporter(log, Meters()))
+    rate = forwarder.transfer_openings.rate
+    dispatcher = Dispatcher(LINK, rate, evidence, Reporter(log, Meters()))
     bulk = (payload(('client', 1), 1200 * number) for number in range(30))
     dispatcher.put(bulk, now_ms)
 
--- /dev/null
+++ b/tests/features/steps/forwarding_link_transfers_steps.py
@@ -0,0 +1,166 @@
+"""Steps for the transfers that share the link of the instance."""
+
+from behave import then
+
+from cardamomtiller.forwarding.link.options import LinkOptions
+from tests import forwarding_rig as rig
+
+BYTES_PER_MS = 300
+TRANSFER_BYTES = 80_000
+OBJECTIVE_MS = 1500
+PACKET_BYTES = 1200
+BULK_PORT, SHORT_PORT = 443, 8443
+START_MS = 10_000
+
+
+def make_forwarder(bytes_per_ms=BYTES_PER_MS, timeout_ms=10_000):
+    """Return a forwarder that knows the request sizes of a bulk and a short route."""
+    options = rig.FORWARDING_WITHOUT_LIMIT._replace(link=LinkOptions(bytes_per_ms))
+    forwarder = rig.make_forwarder(options=options)
+    forwarder.apply_configuration(
+        rig.configuration(
+            2,
+            (BULK_PORT, SHORT_PORT),
+            timeout_ms=timeout_ms,
+            target_latency_ms=OBJECTIVE_MS,
+        ),
+        0,
+    )
+    for port in range(100, 104):
+        transfer(forwarder, port, 0)
+        transfer(forwarder, port, 0, route_port=SHORT_PORT, size=300)
+    return forwarder
+
+
+def open_at(forwarder, port, now_ms, copy=0, route_port=BULK_PORT):
+    """Send an opening packet; return what is sent for it."""
+    datagram = rig.opening(port, copy, route_port=route_port)
+    return rig.handle(forwarder, datagram, now_ms)
+
+
+def send(forwarder, port, now_ms, token, *, size, route_port=BULK_PORT):
+    """Send the payload of a request."""
+    for start in range(0, size, PACKET_BYTES):
+        length = min(PACKET_BYTES, size - start)
+        fields = {'seq': 101 + start, 'ack': 500, 'token': token}
+        datagram = rig.packet(port, size=length, route_port=route_port, **fields)
+        rig.handle(forwarder, datagram, now_ms)
+
+
+def close(forwarder, port, now_ms, token, route_port=BULK_PORT):
+    """Close a flow."""
+    datagram = rig.closing(port, ack=600, token=token, route_port=route_port)
+    rig.handle(forwarder, datagram, now_ms)
+
+
+def transfer(forwarder, port, now_ms, size=TRANSFER_BYTES, route_port=BULK_PORT):
+    """Send a whole request and close its flow."""
+    (delivery,) = open_at(forwarder, port, now_ms, route_port=route_port)
+    token = rig.sent_token(delivery)
+    send(forwarder, port, now_ms, token, size=size, route_port=route_port)
+    close(forwarder, port, now_ms, token, route_port)
+
+
+def open_many(forwarder, openings, now_ms=START_MS):
+    """Open flows at one moment; return those forwarded and reset, and the number waiting."""
+    deliveries = [
+        delivery
+        for port in range(1000, 1000 + openings)
+        for delivery in open_at(forwarder, port, now_ms)
+    ]
+    resets = [delivery for delivery in deliveries if rig.is_reset(delivery)]
+    forwarded = [delivery for delivery in deliveries if not rig.is_reset(delivery)]
+    return forwarded, resets, len(forwarder.transfer_openings)
+
+
+@then(
+    'few transfers share the link, others wait, and those that would be late are reset'
+)
+def step_ten(context):
+    forwarded, resets, waiting = open_many(make_forwarder(), 10)
+    # 16 packets in flight of each take 67 ms; 200 ms cause copies.
+    assert 1 <= len(forwarded) <= 2
+    assert waiting >= 1
+    assert resets
+    carried = len(forwarded) + waiting
+    assert carried + len(resets) == 10
+    assert carried * TRANSFER_BYTES / BYTES_PER_MS <= OBJECTIVE_MS
+
+
+def rig_flow(port):
+    """Return the identity of a flow of the bulk route."""
+    return rig.HeaderFormat().decode(rig.opening(port)).flow
+
+
+def released(forwarder, now_ms):
+    """Return the ports whose openings leave the queue."""
+    return [rig.flow_port(item) for item in forwarder.release_waiting(now_ms)]
+
+
+@then('a waiting transfer begins when another one ends, or its client stops')
+def step_release(context):
+    forwarder = make_forwarder()
+    (first, *others), _, waiting = open_many(forwarder, 10)
+    waiting_port = 1000 + 1 + len(others)
+    assert not released(forwarder, START_MS + 100)
+    token = rig.sent_token(first)
+    send(forwarder, 1000, START_MS + 150, token, size=TRANSFER_BYTES)
+    close(forwarder, 1000, START_MS + 150, token)
+    assert len(released(forwarder, START_MS + 160)) == 1
+    assert len(forwarder.transfer_openings) == waiting - 1
+    for port in range(waiting_port, waiting_port + waiting):
+        if not forwarder.observer.has_flow(rig_flow(port)):
+            open_at(forwarder, port, START_MS + 200, copy=1)
+            open_at(forwarder, port, START_MS + 600, copy=2)
+    # No payload of the other transfers has arrived, so nothing keeps the next one.
+    assert len(released(forwarder, START_MS + 899)) == waiting - 1
+
+
+@then('what the link cannot carry before the timeout of its route is reset at once')
+def step_timeout(context):
+    forwarder = make_forwarder(timeout_ms=500)
+    forwarded, resets, waiting = open_many(forwarder, 10)
+    assert len(forwarded) == 1
+    assert not waiting
+    assert len(resets) == 9
+
+
+@then('short routes, an idle link and a wide one take every opening')
+def step_not_limited(context):
+    forwarder = make_forwarder()
+    open_many(forwarder, 10)
+    for port in range(2000, 2100):
+        (delivery,) = open_at(forwarder, port, START_MS, route_port=SHORT_PORT)
+        assert not rig.is_reset(delivery)
+    tight = make_forwarder(timeout_ms=100)
+    assert len(open_many(tight, 1)[0]) == 1
+    wide = make_forwarder(bytes_per_ms=125_000)
+    assert len(open_many(wide, 100)[0]) == 100
+
+
+@then('a copy of an opening that waits is not reset, and a process that stops sends it')
+def step_copy(context):
+    forwarder = make_forwarder()
+    forwarded, _, waiting = open_many(forwarder, 10)
+    for port in range(1000 + len(forwarded), 1010):
+        assert not open_at(forwarder, port, START_MS + 200, copy=1)
+    assert len(list(forwarder.release_all_waiting(START_MS + 210))) == waiting
+    assert not forwarder.waiting
+
+
+@then('the size of a route follows its requests, not those that moved or were aborted')
+def step_sizes(context):
+    forwarder = make_forwarder()
+    for port in range(3000, 3050):
+        token = rig.sent_token(open_at(forwarder, port, START_MS)[0])
+        send(forwarder, port, START_MS, token, size=PACKET_BYTES)
+        forwarder.sweep(START_MS + 1000)
+        token = rig.sent_token(open_at(forwarder, port + 100, START_MS + 1000)[0])
+        send(forwarder, port + 100, START_MS + 1000, token, size=PACKET_BYTES)
+        aborted = rig.packet(port + 100, rig.RESET, ack=500, token=token)
+        rig.handle(forwarder, aborted, START_MS + 1000)
+    assert open_many(forwarder, 10, START_MS + 5000)[1]
+    forwarder = make_forwarder()
+    for port in range(4000, 4100):
+        transfer(forwarder, port, START_MS, size=PACKET_BYTES)
+    assert len(open_many(forwarder, 10)[0]) == 10
