Reserve link time for control messages, and log the state of the link

Cause: load reports, announcements and replies to peers are sent past the queue of the link, so together with paced transfers they could exceed its rate. Neither their use nor the reason of a late transfer was visible.

Replies to peers are counted in bytes, and a gauge has the use per second. New lines `link_busy`, `link_rate_changed` and `transfer_finished` show the queue, the rate and the end of each bulk transfer. `link.requests` takes the sizes of requests out of `link.transfers`.

Result: control messages at 4% of the link leave the backlog as it is, at 50% they lengthen it; the metrics page shows their bytes.

--- a/src/cardamomtiller/forwarding/fleet/exchange.py
+++ b/src/cardamomtiller/forwarding/fleet/exchange.py
@@ -171,6 +171,7 @@
         waited_ms = max(0, now_ms - request.received_ms)
         body = encode_reply(PeerReply(batch, age_ms, waited_ms))
         self._meters.count('peer_replies')
+        self._meters.count('peer_reply_bytes', len(body))
         return Reply(200, 'application/octet-stream', body)
 
     def _handle_announcement(self, datagram: bytes, host: str, now_ms: float) -> None:
--- a/src/cardamomtiller/forwarding/link/credit.py
+++ b/src/cardamomtiller/forwarding/link/credit.py
@@ -70,7 +70,7 @@
         """Spend the credit for a datagram that waited."""
         self._bytes -= size
 
-    def charge(self, size: int) -> None:
+    def charge(self, size: float) -> None:
         """Spend the credit for bytes that were sent without waiting."""
         charged = min(size, self._short_bytes)
         self._short_bytes -= charged
--- a/src/cardamomtiller/forwarding/link/egress.py
+++ b/src/cardamomtiller/forwarding/link/egress.py
@@ -142,8 +142,9 @@
         while self._turns:
             yield self._pop(now_ms)
 
-    def charge(self, sent_bytes: int) -> None:
+    def charge(self, sent_bytes: float, now_ms: float) -> None:
         """Count bytes that were sent on the link past this queue."""
+        self._credit.update(now_ms, is_busy=bool(self._turns))
         self._credit.charge(sent_bytes)
 
     def next_due_ms(self, now_ms: float) -> float | None:
--- a/src/cardamomtiller/forwarding/link/transfers.py
+++ b/src/cardamomtiller/forwarding/link/transfers.py
@@ -12,13 +12,12 @@
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.link.rate import LinkRate
-from cardamomtiller.forwarding.packet import (
-    FlowKey,
-    Packet,
-    RouteAddress,
-    is_after,
-    sequence_offset,
+from cardamomtiller.forwarding.link.requests import (
+    FinishedTransfer,
+    RequestSizes,
+    Transfer,
 )
+from cardamomtiller.forwarding.packet import FlowKey, Packet, RouteAddress, is_after
 from cardamomtiller.forwarding.published.configuration import Route
 
 
@@ -92,38 +91,6 @@
     finish_ms: float = 0
 
 
-class _Transfer:
-    """Payload of one request of a flow."""
-
-    __slots__ = (
-        'acknowledged',
-        'expected_bytes',
-        'is_whole',
-        'sent_bytes',
-        'start',
-        'updated_ms',
-    )
-
-    def __init__(
-        self, start: int, expected_bytes: float, now_ms: float, *, is_whole: bool
-    ) -> None:
-        self.start = start
-        self.expected_bytes = expected_bytes
-        # Whether the first packet of the request came through this instance.
-        self.is_whole = is_whole
-        self.acknowledged: int | None = None
-        self.sent_bytes = 0
-        self.updated_ms = now_ms
-
-    def add(self, packet: Packet, now_ms: float) -> None:
-        end = sequence_offset(packet.sequence, self.start) + packet.payload_bytes
-        self.sent_bytes = max(self.sent_bytes, end)
-        self.updated_ms = now_ms
-
-    def remaining_bytes(self) -> float:
-        return max(0, self.expected_bytes - self.sent_bytes)
-
-
 class TransferTable:
     """Sizes of the requests of each route, and the requests whose payload arrives."""
 
@@ -131,10 +98,10 @@
         """Start without any route or transfer."""
         self._rate = rate
         self._options = options
-        self._mean_bytes: dict[RouteAddress, float] = {}
-        self._transfers: dict[FlowKey, _Transfer] = {}
+        self._sizes = RequestSizes(options.size_gain)
+        self._transfers: dict[FlowKey, Transfer] = {}
         # Those of bulk routes.
-        self._bulk: dict[FlowKey, _Transfer] = {}
+        self._bulk: dict[FlowKey, Transfer] = {}
 
     def decide(
         self, route: Route, now_ms: float, waiting: Iterable[FlowKey] = ()
@@ -151,7 +118,7 @@
         waiting
             Flows whose opening packets wait before it.
         """
-        expected_bytes = self._mean_bytes.get(route.address, 0)
+        expected_bytes = self._sizes.mean_bytes(route.address)
         if expected_bytes < self._options.bulk_bytes or self._rate.is_unpaced:
             return TransferDecision(TransferVerdict.FORWARD)
         active = [
@@ -160,7 +127,7 @@
             if self._is_active(transfer, now_ms)
         ]
         ahead = [transfer.remaining_bytes() for transfer in active]
-        ahead += [self._mean_bytes.get(flow.route, 0) for flow in waiting]
+        ahead += [self._sizes.mean_bytes(flow.route) for flow in waiting]
         parallel = self.max_parallel()
         bulk_bytes_per_ms = self._rate.bytes_per_ms * self._options.bulk_share
         ahead_ms = sum(ahead) / bulk_bytes_per_ms
@@ -202,46 +169,56 @@
         self._transfers.pop(flow, None)
         self._bulk.pop(flow, None)
 
-    def record_packet(self, packet: Packet, now_ms: float) -> None:
-        """Update the transfer of a flow with a later packet."""
+    def record_packet(self, packet: Packet, now_ms: float) -> FinishedTransfer | None:
+        """
+        Update the transfer of a flow with a later packet.
+
+        Returns
+        -------
+        FinishedTransfer or None
+            The bulk transfer that the packet shows to have ended, None if there is none.
+        """
         if self._rate.is_unpaced:
-            return
+            return None
         transfer = self._transfers.get(packet.flow)
         if packet.is_closing or packet.is_reset:
-            if transfer is not None:
-                self._finish(packet.flow, transfer, is_aborted=packet.is_reset)
-            return
+            if transfer is None:
+                return None
+            return self._finish(
+                packet.flow, transfer, now_ms, is_aborted=packet.is_reset
+            )
+        finished = None
         if transfer is None:
             if not packet.payload_bytes:
-                return
+                return None
             transfer = self._start(packet.flow, packet.sequence, now_ms, is_whole=False)
         elif transfer.acknowledged is not None and is_after(
             packet.acknowledged, transfer.acknowledged
         ):
             # The client has an answer, so the payload before it was one request.
-            self._finish(packet.flow, transfer, is_aborted=False)
+            finished = self._finish(packet.flow, transfer, now_ms, is_aborted=False)
             if not packet.payload_bytes:
-                return
+                return finished
             next_start = transfer.start + transfer.sent_bytes
             transfer = self._start(packet.flow, next_start, now_ms, is_whole=True)
         if transfer.acknowledged is None:
             transfer.acknowledged = packet.acknowledged
         if packet.payload_bytes:
             transfer.add(packet, now_ms)
+        return finished
 
     def expire(self, now_ms: float) -> None:
         """Delete the transfers whose packets have not arrived for a while."""
         for flow, transfer in tuple(self._transfers.items()):
             if now_ms - transfer.updated_ms > self._options.idle_ms:
                 # The rest of it may have gone through another instance.
-                mean_bytes = self._mean_bytes.get(flow.route, 0)
+                mean_bytes = self._sizes.mean_bytes(flow.route)
                 is_aborted = transfer.sent_bytes < mean_bytes
-                self._finish(flow, transfer, is_aborted=is_aborted)
+                self._finish(flow, transfer, now_ms, is_aborted=is_aborted)
 
     def retain(self, routes: Iterable[RouteAddress]) -> None:
         """Delete the sizes of all routes except the given ones."""
-        for address in self._mean_bytes.keys() - set(routes):
-            del self._mean_bytes[address]
+        self._sizes.retain(routes)
 
     def _verdict(
         self, route: Route, wait_ms: float, own_ms: float, finish_ms: float
@@ -255,7 +232,7 @@
             return TransferVerdict.REJECT
         return TransferVerdict.WAIT
 
-    def _is_active(self, transfer: _Transfer, now_ms: float) -> bool:
+    def _is_active(self, transfer: Transfer, now_ms: float) -> bool:
         idle_ms = now_ms - transfer.updated_ms
         if transfer.remaining_bytes():
             return idle_ms <= self._options.idle_ms
@@ -263,24 +240,30 @@
 
     def _start(
         self, flow: FlowKey, sequence: int, now_ms: float, *, is_whole: bool
-    ) -> _Transfer:
-        expected_bytes = self._mean_bytes.get(flow.route, 0)
-        transfer = _Transfer(sequence, expected_bytes, now_ms, is_whole=is_whole)
+    ) -> Transfer:
+        expected_bytes = self._sizes.mean_bytes(flow.route)
+        transfer = Transfer(sequence, expected_bytes, now_ms, is_whole=is_whole)
         self._transfers[flow] = transfer
         self._bulk.pop(flow, None)
         if expected_bytes >= self._options.bulk_bytes:
             self._bulk[flow] = transfer
         return transfer
 
-    def _finish(self, flow: FlowKey, transfer: _Transfer, *, is_aborted: bool) -> None:
+    def _finish(
+        self, flow: FlowKey, transfer: Transfer, now_ms: float, *, is_aborted: bool
+    ) -> FinishedTransfer | None:
         del self._transfers[flow]
         self._bulk.pop(flow, None)
         if is_aborted or not transfer.is_whole or not transfer.sent_bytes:
-            return
-        mean_bytes = self._mean_bytes.get(flow.route, transfer.sent_bytes)
-        gain = self._options.size_gain
-        self._mean_bytes[flow.route] = mean_bytes + gain * (
-            transfer.sent_bytes - mean_bytes
+            return None
+        self._sizes.record(flow.route, transfer.sent_bytes)
+        if transfer.sent_bytes < self._options.bulk_bytes:
+            return None
+        return FinishedTransfer(
+            flow,
+            transfer.sent_bytes,
+            transfer.arrived_bytes,
+            now_ms - transfer.started_ms,
         )
 
 
--- a/src/cardamomtiller/forwarding/routing/dispatch.py
+++ b/src/cardamomtiller/forwarding/routing/dispatch.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 
+from cardamomtiller.forwarding.link.control import ControlReserve
 from cardamomtiller.forwarding.link.egress import EgressQueue, PutResult
 from cardamomtiller.forwarding.link.evidence import LinkEvidence
 from cardamomtiller.forwarding.link.options import LinkOptions
@@ -9,6 +10,12 @@
 from cardamomtiller.forwarding.routing.forwarder import Delivery
 from cardamomtiller.forwarding.telemetry.reporting import Reporter
 
+# Counters of the bytes of control messages, which are sent past the queue.
+CONTROL_COUNTERS = ('announcement_bytes', 'load_report_bytes', 'peer_reply_bytes')
+BUSY_LOG_INTERVAL_MS = 1000.0
+# Change of the rate, as a share of the one logged before, from which it is logged.
+LOGGED_RATE_CHANGE = 0.1
+
 
 class Dispatcher:
     """Queue of the deliveries that wait for the link, with its counters."""
@@ -24,6 +31,9 @@
         self._reporter = reporter
         self._evidence = evidence
         self._rate = rate
+        self._control = ControlReserve(rate, options.egress.credit.control_share)
+        self._logged_bytes_per_ms = rate.bytes_per_ms
+        self._next_busy_log_ms: float = 0
         self._egress: EgressQueue[Delivery] = EgressQueue(self._rate, options.egress)
 
     def put(self, deliveries: Iterable[Delivery], now_ms: float) -> None:
@@ -52,8 +62,29 @@
         return None if due_ms is None else max(0, due_ms - now_ms)
 
     def sweep(self, now_ms: float) -> None:
-        """Forget packets that were sent long ago, and update the gauges."""
+        """Forget packets that were sent long ago, and report the state of the link."""
         self._egress.expire(now_ms)
         meters = self._reporter.meters
+        control_bytes = sum(meters.counters[name] for name in CONTROL_COUNTERS)
+        excess_bytes = self._control.record_total(control_bytes, now_ms)
+        self._egress.charge(excess_bytes, now_ms)
+        meters.set_gauge('link_control_bytes_per_s', self._control.bytes_per_s)
+        self._log_changes(now_ms)
         meters.set_gauge('link_backlog_ms', self._egress.backlog_ms(now_ms))
         meters.set_gauge('link_bytes_per_ms', self._rate.bytes_per_ms)
+
+    def _log_changes(self, now_ms: float) -> None:
+        current = self._rate.bytes_per_ms
+        change = abs(current - self._logged_bytes_per_ms)
+        if change > LOGGED_RATE_CHANGE * self._logged_bytes_per_ms:
+            self._reporter.link_rate_changed(self._logged_bytes_per_ms, current, now_ms)
+            self._logged_bytes_per_ms = current
+        if self._evidence.is_busy(now_ms) and now_ms >= self._next_busy_log_ms:
+            self._next_busy_log_ms = now_ms + BUSY_LOG_INTERVAL_MS
+            self._reporter.link_busy(
+                self._egress.backlog_ms(now_ms),
+                self._egress.queued_bytes,
+                self._egress.queued_flows,
+                current,
+                now_ms,
+            )
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -414,7 +414,9 @@
         if packet.payload_bytes and self.observer.is_unreachable(upstream):
             yield self._reset_flow(packet, upstream, ResetReason.UNREACHABLE, now_ms)
             return
-        self.transfer_openings.record_packet(packet, now_ms)
+        finished = self.transfer_openings.record_packet(packet, now_ms)
+        if finished is not None:
+            self._reporter.transfer_finished(finished, now_ms)
         self._reporter.meters.count('packets_forwarded')
         route = self.configuration.routes.get(packet.flow.route)
         yield _to_upstream(upstream, datagram, packet, route)
--- a/src/cardamomtiller/forwarding/routing/transferopenings.py
+++ b/src/cardamomtiller/forwarding/routing/transferopenings.py
@@ -4,6 +4,7 @@
 
 from cardamomtiller.forwarding.admission.waitqueue import WaitingOpening, WaitQueue
 from cardamomtiller.forwarding.link.rate import LinkRate
+from cardamomtiller.forwarding.link.requests import FinishedTransfer
 from cardamomtiller.forwarding.link.transfers import (
     TransferDecision,
     TransferTable,
@@ -87,10 +88,11 @@
         if self._transfers is not None:
             self._transfers.cancel(flow)
 
-    def record_packet(self, packet: Packet, now_ms: float) -> None:
-        """Update the transfer of a flow with a later packet."""
-        if self._transfers is not None:
-            self._transfers.record_packet(packet, now_ms)
+    def record_packet(self, packet: Packet, now_ms: float) -> FinishedTransfer | None:
+        """Update the transfer of a flow; return the bulk transfer that has ended."""
+        if self._transfers is None:
+            return None
+        return self._transfers.record_packet(packet, now_ms)
 
     def retain_routes(self, routes: Iterable[RouteAddress]) -> None:
         """Forget the request sizes of all routes except the given ones."""
--- a/src/cardamomtiller/forwarding/telemetry/reporting.py
+++ b/src/cardamomtiller/forwarding/telemetry/reporting.py
@@ -4,6 +4,7 @@
 
 from cardamomtiller.forwarding.admission.control import Decision, Release
 from cardamomtiller.forwarding.admission.waitqueue import WaitingOpening
+from cardamomtiller.forwarding.link.requests import FinishedTransfer
 from cardamomtiller.forwarding.link.transfers import TransferDecision
 from cardamomtiller.forwarding.observation.reachability import PathChange
 from cardamomtiller.forwarding.observation.unknowntokens import Steadiness
@@ -208,6 +209,48 @@
             waiting=release.waiting,
         )
 
+    def link_busy(
+        self,
+        backlog_ms: float,
+        queued_bytes: int,
+        flows: int,
+        bytes_per_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Report that packets wait long for the link, or that it has lost some."""
+        self._log.write(
+            'link_busy',
+            now_ms,
+            backlog_ms=round(backlog_ms),
+            queued_bytes=queued_bytes,
+            flows=flows,
+            bytes_per_ms=round(bytes_per_ms),
+        )
+
+    def link_rate_changed(
+        self, previous: float, bytes_per_ms: float, now_ms: float
+    ) -> None:
+        """Report that losses or busy periods without loss changed the link's rate."""
+        self._log.write(
+            'link_rate_changed',
+            now_ms,
+            bytes_per_ms=round(bytes_per_ms),
+            before=round(previous),
+        )
+
+    def transfer_finished(self, finished: FinishedTransfer, now_ms: float) -> None:
+        """Report the end of the payload of a bulk transfer."""
+        self.meters.count('transfers_finished')
+        self.meters.observe('transfer_ms', finished.duration_ms)
+        self._log.write(
+            'transfer_finished',
+            now_ms,
+            flow=format_flow(finished.flow),
+            sent_bytes=finished.sent_bytes,
+            arrived_bytes=finished.arrived_bytes,
+            duration_ms=round(finished.duration_ms),
+        )
+
     def transfer_postponed(
         self, packet: Packet, route: Route, decision: TransferDecision, now_ms: float
     ) -> None:
--- a/tests/features/forwarding_link.feature
+++ b/tests/features/forwarding_link.feature
@@ -53,3 +53,10 @@
     Then short routes, an idle link and a wide one take every opening
     And a copy of an opening that waits is not reset, and a process that stops sends it
     And the size of a route follows its requests, not those that moved or were aborted
+
+  Scenario: Control messages and transfers displace each other, or nobody sees it
+    Then control messages beyond their share delay transfers, those within it do not
+    And the metrics page shows the bytes of control messages
+
+  Scenario: The cause of a late transfer cannot be found
+    Then the log tells how long a transfer waited, what the link had queued, and its end
--- a/tests/features/steps/forwarding_link_transfers_steps.py
+++ b/tests/features/steps/forwarding_link_transfers_steps.py
@@ -1,9 +1,15 @@
 """Steps for the transfers that share the link of the instance."""
 
+import os
+
+import ujson
 from behave import then
 
 from cardamomtiller.forwarding.link.options import LinkOptions
+from cardamomtiller.forwarding.routing.dispatch import Dispatcher
+from cardamomtiller.forwarding.telemetry.exposition import render
 from tests import forwarding_rig as rig
+from tests.link_rig import payload
 
 BYTES_PER_MS = 300
 TRANSFER_BYTES = 80_000
@@ -164,3 +170,76 @@
     for port in range(4000, 4100):
         transfer(forwarder, port, START_MS, size=PACKET_BYTES)
     assert len(open_many(forwarder, 10)[0]) == 10
+
+
+def make_dispatcher(forwarder):
+    """Return the link queue of a forwarder."""
+    rate = forwarder.transfer_openings.rate
+    evidence = forwarder.observer.evidence
+    link = LinkOptions(BYTES_PER_MS)
+    return Dispatcher(link, rate, evidence, forwarder._reporter)
+
+
+def backlog_with_control(bytes_per_tick):
+    """Return the queue's backlog after 2 s in which control messages were sent."""
+    forwarder = make_forwarder()
+    dispatcher = make_dispatcher(forwarder)
+    meters = forwarder._reporter.meters
+    for now_ms in range(0, 2000, 100):
+        meters.count('load_report_bytes', bytes_per_tick // 2)
+        meters.count('peer_reply_bytes', bytes_per_tick // 2)
+        dispatcher.put([payload(('client', 1), 1200 * n) for n in range(30)], 0)
+        dispatcher.sweep(now_ms)
+    return meters, meters.gauges['link_backlog_ms']
+
+
+@then('control messages beyond their share delay transfers, those within it do not')
+def step_control(context):
+    tick_bytes = BYTES_PER_MS * 100
+    idle = backlog_with_control(0)[1]
+    assert backlog_with_control(tick_bytes // 25)[1] == idle
+    assert backlog_with_control(tick_bytes // 2)[1] > idle
+
+
+@then('the metrics page shows the bytes of control messages')
+def step_control_bytes(context):
+    page = render(backlog_with_control(1000)[0])[1].decode()
+    assert 'cardamomtiller_peer_reply_bytes_total 10000.0' in page
+    (use,) = (
+        float(line.split()[1])
+        for line in page.splitlines()
+        if line.startswith('cardamomtiller_link_control_bytes_per_s ')
+    )
+    assert 5000 < use <= 10_000
+
+
+def read_log(forwarder):
+    """Return the log lines of a forwarder."""
+    reader, writer = os.pipe()
+    forwarder._reporter._log.flush(writer)
+    os.close(writer)
+    with open(reader, 'rb') as lines:
+        return [ujson.loads(line) for line in lines]
+
+
+@then('the log tells how long a transfer waited, what the link had queued, and its end')
+def step_log(context):
+    forwarder = make_forwarder()
+    dispatcher = make_dispatcher(forwarder)
+    (first, *_), _, _ = open_many(forwarder, 10)
+    token = rig.sent_token(first)
+    send(forwarder, 1000, START_MS + 100, token, size=TRANSFER_BYTES)
+    bulk = [payload(('client', 1), 1200 * number) for number in range(60)]
+    dispatcher.put(bulk, START_MS + 100)
+    dispatcher.sweep(START_MS + 100)
+    close(forwarder, 1000, START_MS + 190, token)
+    (delivery,) = forwarder.release_waiting(START_MS + 200)
+    lines = {line['event']: line for line in read_log(forwarder)}
+    assert lines['transfer_finished']['sent_bytes'] == TRANSFER_BYTES
+    assert lines['transfer_finished']['duration_ms'] == 190
+    assert lines['transfer_postponed']['outcome'] == 'reject'
+    assert lines['transfer_released']['waited_ms'] == 200
+    assert lines['link_busy']['backlog_ms'] > 100
+    flow = lines['transfer_released']['flow']
+    assert lines['flow_placed']['flow'] == flow
+    assert f':{rig.flow_port(delivery)}-' in flow
