--- a/tests/features/steps/forwarding_link_transfers_steps.py
+++ b/tests/features/steps/forwarding_link_transfers_steps.py
@@ -188,7 +188,7 @@
     for now_ms in range(0, 2000, 100):
         meters.count('load_report_bytes', bytes_per_tick // 2)
         meters.count('peer_reply_bytes', bytes_per_tick // 2)
-        dispatcher.put([payload(('client', 1), 1200 * n) for n in range(30)], 0)
+        list(dispatcher.send([payload(('client', 1), 1200 * n) for n in range(30)], 0))
         dispatcher.sweep(now_ms)
     return meters, meters.gauges['link_backlog_ms']
 
@@ -230,7 +230,7 @@
     token = rig.sent_token(first)
     send(forwarder, 1000, START_MS + 100, token, size=TRANSFER_BYTES)
     bulk = [payload(('client', 1), 1200 * number) for number in range(60)]
-    dispatcher.put(bulk, START_MS + 100)
+    list(dispatcher.send(bulk, START_MS + 100))
     dispatcher.sweep(START_MS + 100)
     close(forwarder, 1000, START_MS + 190, token)
     (delivery,) = forwarder.release_waiting(START_MS + 200)
