Refuse an opening that mandatory gates hold too long

A mandatory gate is never overridden, so an opening that it holds until the longest age of the wait queue can only be reset then. The client loses up to a second that it needs for its retries.

A gate may now state the earliest times of further flows. GateSet.wait_ms merges them over the pool, and Admission.decide rejects an opening at once if it would be reset while it waits. GateSet.is_active lets openings skip all gates while no upstream is limited. Gates that state nothing behave as before.

Ruled out: a decision in the gate itself, which does not know how many openings are ahead in the queue.

--- a/src/cardamomtiller/forwarding/admission/control.py
+++ b/src/cardamomtiller/forwarding/admission/control.py
@@ -1,6 +1,6 @@
 """Decides whether an opening packet is forwarded at once, waits, or is rejected."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from enum import Enum
 from typing import NamedTuple
 
@@ -26,6 +26,7 @@
 from cardamomtiller.forwarding.placement.selection import min_latency_ms
 from cardamomtiller.forwarding.published.configuration import Route
 from cardamomtiller.forwarding.published.directory import UpstreamDirectory
+from cardamomtiller.forwarding.published.upstreams import Upstream
 from cardamomtiller.ids import ServiceName
 
 
@@ -133,8 +134,11 @@
             return Decision(Verdict.FORWARD, use.in_progress, limit, 0)
         if queue is None:
             queue = self._queues[service] = WaitQueue(self._options.wait)
-        if packet.flow not in queue and self._is_hopeless(
-            queue, route, limit, self._expected_latency_ms(service, now_ms)
+        if packet.flow not in queue and (
+            self._is_hopeless(
+                queue, route, limit, self._expected_latency_ms(service, now_ms)
+            )
+            or self._is_held_too_long(queue, packet, route, service, now_ms)
         ):
             return Decision(Verdict.REJECT, use.in_progress, limit, len(queue))
         queue.put(packet, datagram, route, now_ms)
@@ -186,15 +190,39 @@
 
     def _can_place(self, service: ServiceName, now_ms: float) -> bool:
         """Return whether some upstream that can be reached may get another flow."""
-        if self._gates.is_empty:
+        if not self._gates.is_active(now_ms):
             return True
+        return self._gates.can_place(self._reachable_pool(service), now_ms)
+
+    def _is_held_too_long(
+        self,
+        queue: WaitQueue,
+        packet: Packet,
+        route: Route,
+        service: ServiceName,
+        now_ms: float,
+    ) -> bool:
+        """Return whether mandatory gates hold an opening until it can only be reset."""
+        if not self._gates.is_active(now_ms):
+            return False
+        pool = self._reachable_pool(service)
+        wait_ms = self._gates.wait_ms(pool, len(queue), now_ms) if pool else 0
+        if wait_ms <= 0:
+            return False
+        wait = self._options.wait
+        last_copy = len(wait.copy_ages_ms) - 1
+        age_ms = wait.copy_ages_ms[min(packet.copy_number, last_copy)]
+        return age_ms + wait_ms >= min(route.timeout_ms, wait.max_age_ms)
+
+    def _reachable_pool(self, service: ServiceName) -> Sequence[Upstream]:
+        """Return the upstreams that can be reached, or all if none can."""
         pool = self._directory.pool(service)
         reachable = [
             upstream
             for upstream in pool
             if self._reachability.state(upstream.token) is not PathState.UNREACHABLE
         ]
-        return self._gates.can_place(reachable or pool, now_ms)
+        return reachable or pool
 
     def _is_far_below_limit(self, service: ServiceName) -> bool:
         """
--- a/src/cardamomtiller/forwarding/placement/gates.py
+++ b/src/cardamomtiller/forwarding/placement/gates.py
@@ -6,7 +6,10 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from heapq import merge
+from itertools import islice, repeat
+from math import inf
 
 from cardamomtiller.forwarding.published.upstreams import Upstream
 
@@ -23,6 +26,10 @@
 
     is_mandatory = False
 
+    def is_active(self, now_ms: float) -> bool:
+        """Return whether any upstream may be limited now; cheap, by default true."""
+        return True
+
     @abstractmethod
     def admits(self, upstream: Upstream, now_ms: float) -> bool:
         """Return whether an upstream may get another flow now."""
@@ -31,6 +38,14 @@
     def record_placement(self, upstream: Upstream, now_ms: float) -> None:
         """Record that an opening packet is sent to an upstream."""
 
+    def free_times_ms(self, upstream: Upstream, now_ms: float) -> Iterator[float]:
+        """
+        Iterate over the earliest times at which further flows may be placed, in order.
+
+        A gate that cannot tell yields the current time without end.
+        """
+        return repeat(now_ms)
+
 
 class GateSet:
     """All gates of an instance; without any gate, every upstream is admitted."""
@@ -44,6 +59,10 @@
         """Whether no gate limits any upstream."""
         return not self._gates
 
+    def is_active(self, now_ms: float) -> bool:
+        """Return whether some gate may limit an upstream now."""
+        return any(gate.is_active(now_ms) for gate in self._gates)
+
     def admitted(
         self, pool: Iterable[Upstream], now_ms: float, *, is_overdue: bool = False
     ) -> list[Upstream]:
@@ -61,7 +80,7 @@
             unless some upstream is admitted by all of them.
         """
         candidates = list(pool)
-        if not self._gates:
+        if not self.is_active(now_ms):
             return candidates
         open_ones = [
             upstream for upstream in candidates if self._admits(upstream, now_ms)
@@ -77,9 +96,46 @@
     def can_place(self, pool: Iterable[Upstream], now_ms: float) -> bool:
         """Return whether every gate admits some upstream; true for an empty pool."""
         candidates = tuple(pool)
-        return not candidates or any(
-            self._admits(upstream, now_ms) for upstream in candidates
+        if not candidates or not self.is_active(now_ms):
+            return True
+        return any(self._admits(upstream, now_ms) for upstream in candidates)
+
+    def wait_ms(self, pool: Iterable[Upstream], ahead: int, now_ms: float) -> float:
+        """
+        Return how long an opening waits at least until mandatory gates let it leave.
+
+        Parameters
+        ----------
+        pool
+            Upstreams to choose from.
+        ahead
+            Openings that leave before it.
+        now_ms
+            Current time.
+
+        Returns
+        -------
+        float
+            Infinite if the gates never admit an upstream of the pool.
+        """
+        gates = [
+            gate for gate in self._gates if gate.is_mandatory and gate.is_active(now_ms)
+        ]
+        if not gates:
+            return 0
+        times_ms = merge(
+            *(
+                map(
+                    max,
+                    zip(
+                        *(gate.free_times_ms(upstream, now_ms) for gate in gates),
+                        strict=False,
+                    ),
+                )
+                for upstream in pool
+            )
         )
+        return next(islice(times_ms, ahead, None), inf) - now_ms
 
     def record_placement(self, upstream: Upstream, now_ms: float) -> None:
         """Record at every gate that an opening packet is sent to an upstream."""
