Keep the requests of upstreams in slow start within a quota

Many instances that each send a few requests to an upstream that has just started exceed what it can handle, because none of them knows of the others' requests.

The package warmup splits a quota for each upstream in slow start without messages. Permits are dealt to the failure domains and then to the members of a domain in the order of a hash; each permit allows one request in 1.3 s. An instance that has started holds nothing until its table is complete and the others know it; members are remembered for 300 s after they were last seen. SlowStarts tells which upstreams count: by the rest in their entry, after a return from the unreachable state, and after a lost entry that is published again without a later number. Requests on open flows count against the part of the instance that sees them. The Forwarder owns the gate, the process passes the members on each tick, and Reporter logs begin and end. Without both bounds in the settings, the gate is never active.

Ruled out by a trial: a hold-off of 2 s or 0.1 s for each known member without growth of the table. Ruled out without a run: parts by the members that are in the table now, since each side of a split would hold the whole quota; rendezvous.score, since importing hashlib took 10 ms.

--- a/src/cardamomtiller/forwarding/endpoints.py
+++ b/src/cardamomtiller/forwarding/endpoints.py
@@ -5,6 +5,7 @@
 """
 
 import select
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.fleet.exchange import ExchangeOptions, PeerExchange
@@ -116,6 +117,10 @@
         """Return the known members of other failure domains."""
         return self._exchange.member_table.remote_members()
 
+    def member_contacts(self) -> Iterator[tuple[Member, float]]:
+        """Iterate over the known members, with the time of the last message of each."""
+        return self._exchange.member_table.contacts()
+
     def fleet_size(self, now_ms: float) -> int | None:
         """Return the number of instances, None while they are still unknown."""
         return self._exchange.fleet_size(now_ms)
--- a/src/cardamomtiller/forwarding/fleet/membertable.py
+++ b/src/cardamomtiller/forwarding/fleet/membertable.py
@@ -162,6 +162,11 @@
         """Return the other members of all failure domains."""
         return tuple(self._members.values())
 
+    def contacts(self) -> Iterator[tuple[Member, float]]:
+        """Iterate over the other members, with the time of the last message of each."""
+        for host, member in self._members.items():
+            yield member, self._last_contact_ms[host]
+
     def find(self, host: str) -> Member | None:
         """Return the member with this IP address, or None."""
         return self._members.get(host)
--- a/src/cardamomtiller/forwarding/process.py
+++ b/src/cardamomtiller/forwarding/process.py
@@ -297,6 +297,9 @@
         self._follower.peers = self._endpoints.tick(now_ms)
         self._follower.remote_members = self._endpoints.remote_members()
         self._forwarder.admission.instances = self._endpoints.fleet_size(now_ms)
+        self._forwarder.update_members(
+            self._options.local_member, self._endpoints.member_contacts(), now_ms
+        )
 
     def _reload_if_due(self) -> None:
         now_ms = monotonic_ms()
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -10,6 +10,7 @@
 )
 from cardamomtiller.forwarding.admission.limit import StartWindow
 from cardamomtiller.forwarding.admission.waitqueue import WaitingOpening
+from cardamomtiller.forwarding.member import Member
 from cardamomtiller.forwarding.observation.flows import Flow
 from cardamomtiller.forwarding.observation.unknowntokens import (
     NOT_STEADY,
@@ -49,6 +50,7 @@
     Reporter,
     ResetReason,
 )
+from cardamomtiller.forwarding.warmup.gate import SlowStartGate
 from cardamomtiller.ids import UpstreamId
 
 HASH_MULTIPLIER = 0x85EBCA6B
@@ -113,9 +115,12 @@
             options.missing_entry_grace_ms,
             options.departed_retention_ms,
         )
-        self._gates = GateSet() if gates is None else gates
         start_window = StartWindow(options.admission.limit)
         self.observer = Observer(self.directory, options, self._reporter, start_window)
+        self._slow_start = SlowStartGate(
+            options.warmup, locality, self.observer.reachability
+        )
+        self._gates = GateSet([self._slow_start]) if gates is None else gates
         self.admission = Admission(
             self.directory,
             self.observer.loads,
@@ -138,6 +143,7 @@
             self._reporter.configuration_ignored(configuration, previous, now_ms)
         elif configuration != self.configuration:
             self.configuration = configuration
+            self._slow_start.apply_configuration(configuration)
             self.directory.add_services(configuration.services)
             self.observer.retain_routes(configuration.routes)
             self._reporter.configuration_applied(configuration, previous, now_ms)
@@ -153,7 +159,10 @@
         current = self.directory.find(entry.upstream)
         if current is not None and current.entry.incarnation != entry.incarnation:
             self.observer.reachability.remove(current.token)
+        is_lost = current is not None and current.was_removed_while_ready
+        lost = current.entry if current is not None and is_lost else None
         upstream = self.directory.put(entry, now_ms)
+        self._slow_start.apply_entry(upstream, lost, now_ms)
         self.observer.reachability.reinstate(upstream.token)
         self._reporter.upstream_changed(upstream, 'entry', now_ms)
 
@@ -171,6 +180,12 @@
             self.directory.evacuate(evacuation.domain)
             self._reporter.evacuation_changed(evacuation.domain, 'started', now_ms)
 
+    def update_members(
+        self, local: Member, contacts: Iterable[tuple[Member, float]], now_ms: float
+    ) -> None:
+        """Take over the other members, with the time of the last message of each."""
+        self._slow_start.update_members(local, contacts, now_ms)
+
     def handle(self, datagram: bytes, now_ms: float) -> Iterator[Delivery]:
         """
         Process one datagram from a client.
@@ -242,6 +257,9 @@
         for upstream in self.directory.expire(now_ms):
             self._reporter.upstream_changed(upstream, 'entry_expired', now_ms)
         self.observer.sweep(now_ms)
+        unreachable = self.observer.unreachable_upstreams()
+        for change in self._slow_start.observe(self.directory, unreachable, now_ms):
+            self._reporter.slow_start_changed(change, now_ms)
 
     def _open_flow(
         self,
@@ -298,6 +316,8 @@
             yield from self._refuse_unserved(packet, route, now_ms)
             return
         self._gates.record_placement(choice.upstream, now_ms)
+        if self._slow_start.is_limited(choice.upstream, now_ms):
+            self._reporter.meters.count('slow_start_opens')
         self.observer.open_flow(
             packet.flow, choice.upstream, now_ms, route.target_latency_ms
         )
@@ -369,7 +389,9 @@
         if upstream is None:
             yield from self._refuse_unknown(packet, now_ms)
             return
-        self.observer.observe(packet, upstream, now_ms)
+        is_request = self.observer.observe(packet, upstream, now_ms)
+        if is_request and self._slow_start.record_request(upstream, now_ms):
+            self._reporter.meters.count('slow_start_requests')
         if packet.payload_bytes and self.observer.is_unreachable(upstream):
             yield self._reset_flow(packet, upstream, ResetReason.UNREACHABLE, now_ms)
             return
--- a/src/cardamomtiller/forwarding/routing/observing.py
+++ b/src/cardamomtiller/forwarding/routing/observing.py
@@ -113,14 +113,22 @@
         # as load already.
         self.loads.start_request(flow, now_ms)
 
-    def observe(self, packet: Packet, upstream: Upstream, now_ms: float) -> None:
-        """Update a flow with a later packet; add the flow if it is not in the table."""
+    def observe(self, packet: Packet, upstream: Upstream, now_ms: float) -> bool:
+        """
+        Update a flow with a later packet; add the flow if it is not in the table.
+
+        Returns
+        -------
+        bool
+            Whether the packet starts a request other than the first one of a flow that
+            was opened here.
+        """
         flow = self._flows.find(packet.flow)
         if flow is None or flow.upstream is not upstream:
             if flow is not None:
                 self.loads.remove_flow(flow, now_ms)
             if packet.is_closing or packet.is_reset:
-                return
+                return False
             flow = Flow(packet.flow, upstream, now_ms)
             self._add(flow, now_ms)
         was_opened = flow.is_opened
@@ -130,6 +138,15 @@
             if flow.is_opened_here:
                 flow.answer_start = flow.acknowledged
         self._apply_observation(flow, observation, now_ms)
+        return observation is Observation.REQUEST
+
+    def unreachable_upstreams(self) -> Iterator[Upstream]:
+        """Iterate over the upstreams whose path is in the unreachable state."""
+        for token in self.reachability.tracked_tokens():
+            if self.reachability.state(token) is PathState.UNREACHABLE:
+                upstream = self._directory.by_token(token)
+                if upstream is not None:
+                    yield upstream
 
     def is_unreachable(self, upstream: Upstream) -> bool:
         """Return whether the path to an upstream is in the unreachable state."""
--- a/src/cardamomtiller/forwarding/telemetry/reporting.py
+++ b/src/cardamomtiller/forwarding/telemetry/reporting.py
@@ -11,6 +11,7 @@
 from cardamomtiller.forwarding.published.upstreams import Upstream
 from cardamomtiller.forwarding.telemetry.decisionlog import DecisionLog
 from cardamomtiller.forwarding.telemetry.meters import Meters
+from cardamomtiller.forwarding.warmup.gate import SlowStartChange
 from cardamomtiller.ids import DomainName, ServiceName, Version
 
 
@@ -196,6 +197,24 @@
             waiting=release.waiting,
         )
 
+    def slow_start_changed(self, change: SlowStartChange, now_ms: float) -> None:
+        """Report that the slow-start period of an upstream has begun or ended."""
+        event = 'slow_start_began' if change.is_begin else 'slow_start_ended'
+        self.meters.count(event)
+        entry = change.upstream.entry
+        self._log.write(
+            event,
+            now_ms,
+            upstream=entry.upstream,
+            service=entry.service,
+            domain=entry.domain,
+            left_ms=None if change.left_ms is None else round(change.left_ms),
+            part=change.part,
+            quota=round(change.quota, 2),
+            members=change.members,
+            incarnation=entry.incarnation,
+        )
+
     def packet_dropped(
         self,
         reason: DropReason,
