Ask each gate once for all upstreams of a pool

With one of 60 upstreams in slow start, the checks of all gates for each upstream took 139 us for an opening, more than the rest of its handling.

GateSet now filters the pool by one active gate after the other.

Ruled out: caching the admitted upstreams, which change with each placement.

--- a/src/cardamomtiller/forwarding/placement/gates.py
+++ b/src/cardamomtiller/forwarding/placement/gates.py
@@ -80,25 +80,22 @@
             unless some upstream is admitted by all of them.
         """
         candidates = list(pool)
-        if not self.is_active(now_ms):
-            return candidates
-        open_ones = [
-            upstream for upstream in candidates if self._admits(upstream, now_ms)
-        ]
+        gates = [gate for gate in self._gates if gate.is_active(now_ms)]
+        open_ones = _admitted_by(gates, candidates, now_ms)
         if open_ones or not is_overdue:
             return open_ones
-        return [
-            upstream
-            for upstream in candidates
-            if self._admits(upstream, now_ms, is_mandatory_only=True)
-        ]
+        mandatory_gates = [gate for gate in gates if gate.is_mandatory]
+        return _admitted_by(mandatory_gates, candidates, now_ms)
 
     def can_place(self, pool: Iterable[Upstream], now_ms: float) -> bool:
         """Return whether every gate admits some upstream; true for an empty pool."""
         candidates = tuple(pool)
         if not candidates or not self.is_active(now_ms):
             return True
-        return any(self._admits(upstream, now_ms) for upstream in candidates)
+        return any(
+            all(gate.admits(upstream, now_ms) for gate in self._gates)
+            for upstream in candidates
+        )
 
     def wait_ms(self, pool: Iterable[Upstream], ahead: int, now_ms: float) -> float:
         """
@@ -142,11 +139,11 @@
         for gate in self._gates:
             gate.record_placement(upstream, now_ms)
 
-    def _admits(
-        self, upstream: Upstream, now_ms: float, *, is_mandatory_only: bool = False
-    ) -> bool:
-        return all(
-            gate.admits(upstream, now_ms)
-            for gate in self._gates
-            if gate.is_mandatory or not is_mandatory_only
-        )
+
+def _admitted_by(
+    gates: Iterable[PlacementGate], pool: list[Upstream], now_ms: float
+) -> list[Upstream]:
+    """Return the upstreams that each of the gates admits, in their order."""
+    for gate in gates:
+        pool = [upstream for upstream in pool if gate.admits(upstream, now_ms)]
+    return pool
