--- a/src/cardamomtiller/forwarding/warmup/gate.py
+++ b/src/cardamomtiller/forwarding/warmup/gate.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Iterable, Iterator
-from itertools import repeat
+from itertools import chain, repeat, takewhile
 from math import floor, isinf
 from typing import NamedTuple
 
@@ -93,6 +93,9 @@
 
     def admits(self, upstream: Upstream, now_ms: float) -> bool:
         """Return whether an upstream may get another flow now."""
+        # Most upstreams of a pool are warm, and leave here.
+        if not self._slow_starts.may_include(upstream, now_ms):
+            return True
         if not self.is_limited(upstream, now_ms):
             return True
         part = self.part(upstream)
@@ -102,7 +105,11 @@
         """Iterate over the times at which further flows may be placed."""
         if not self.is_limited(upstream, now_ms):
             return repeat(now_ms)
-        return self._sends.free_times_ms(upstream.token, self.part(upstream), now_ms)
+        ends_ms = self._slow_starts.ends_ms(upstream, now_ms)
+        free_ms = self._sends.free_times_ms(upstream.token, self.part(upstream), now_ms)
+        return chain(
+            takewhile(lambda time_ms: time_ms < ends_ms, free_ms), repeat(ends_ms)
+        )
 
     def record_placement(self, upstream: Upstream, now_ms: float) -> None:
         """Record that an opening packet, or a copy of one, is sent to an upstream."""
@@ -122,7 +129,8 @@
     def is_limited(self, upstream: Upstream, now_ms: float) -> bool:
         """Return whether an upstream is in slow start."""
         return (
-            self.is_active(now_ms)
+            self._slow_starts.may_include(upstream, now_ms)
+            and self.is_active(now_ms)
             and self._slow_starts.ends_ms(upstream, now_ms) > now_ms
         )
 
--- a/src/cardamomtiller/forwarding/warmup/holders.py
+++ b/src/cardamomtiller/forwarding/warmup/holders.py
@@ -208,9 +208,9 @@
         """Let this instance hold parts once it knows the others, and they know it."""
         options = self._options
         later_members = max(0, self.size - options.early_members)
-        age_ms = now_ms - (self._started_ms or now_ms)
+        known_ms = options.min_age_ms + later_members * options.member_interval_ms
         is_known = (
-            age_ms >= options.min_age_ms + later_members * options.member_interval_ms
+            self._started_ms is not None and now_ms - self._started_ms >= known_ms
         )
         if self._is_complete and self._is_any_other_known and is_known:
             self.is_settled = True
--- a/src/cardamomtiller/forwarding/warmup/slowstart.py
+++ b/src/cardamomtiller/forwarding/warmup/slowstart.py
@@ -55,6 +55,10 @@
         """Return whether some upstream may be in slow start; costs almost nothing."""
         return now_ms < self._published_until_ms or bool(self._returns)
 
+    def may_include(self, upstream: Upstream, now_ms: float) -> bool:
+        """Return whether an upstream may be in slow start; costs almost nothing."""
+        return now_ms < upstream.slow_start_ends_ms or upstream.token in self._returns
+
     def record_entry(
         self, upstream: Upstream, lost: UpstreamEntry | None, now_ms: float
     ) -> None:
