Test that an instance of a large domain holds nothing too early

The fleets of the feature have at most 74 members in a failure domain, where the check of unknown members makes no difference.

The new step shows a table only a few of 100 members at a time. It fails with max_new_share = 1.0 and passes with 0.05.

--- a/tests/features/forwarding_warmup.feature
+++ b/tests/features/forwarding_warmup.feature
@@ -6,6 +6,7 @@
 
   Scenario: An instance that knows too little of the fleet takes the quota of others
     Then an instance holds nothing before it knows the fleet, nor just after a restart
+    And an instance of a large failure domain waits until it knows most members
     And an instance that is cut off, with its failure domain or alone, keeps its part
 
   Scenario: Requests are not counted, or arrive in the same second as later ones
--- a/tests/features/steps/forwarding_warmup_steps.py
+++ b/tests/features/steps/forwarding_warmup_steps.py
@@ -1,10 +1,11 @@
 """Steps for the quota of upstreams in slow start."""
 
 from itertools import islice
+from random import Random
 
 from behave import then
 
-from cardamomtiller.forwarding.member import Member
+from cardamomtiller.forwarding.member import Member, rank
 from cardamomtiller.forwarding.observation.reachability import (
     DEFAULT_REACHABILITY,
     ProbeResult,
@@ -114,6 +115,23 @@
     assert opened(forwarder, 5, 30_000) == (0, 5)
 
 
+@then('an instance of a large failure domain waits until it knows most members')
+def step_large_domain(context):
+    random = Random(1)
+    peers = [LOCAL._replace(host=f'10.0.1.{number}') for number in range(100)]
+    table = HolderTable(LOCAL.domain, (), DEFAULT_HOLDERS)
+    contacts = {}
+    for now_ms in range(0, 600_000, 500):
+        # The reader candidates are in every announcement, the others in a few.
+        if now_ms % 2000 == 0:
+            heard = [*rank(peers)[:3], *random.sample(peers, 4)]
+            contacts.update(dict.fromkeys(heard, now_ms))
+        table.update(LOCAL, contacts.items(), now_ms)
+        if table.is_settled:
+            break
+    assert table.is_settled and table.size > 90, table.size
+
+
 @then('an instance that is cut off, with its failure domain or alone, keeps its part')
 def step_cut_domain(context):
     remote = OTHER._replace(host='10.0.0.3', domain='b')
