Test that a real process sends a window at the rate of its link

Cause: the queue, the wake-ups of the event loop and the sockets were tested apart only.

Change: a deployment of stand-ins takes the stated link rate; a live scenario sends five windows in random order through a process with a link of 2.4 Mbit/s.

--- a/tests/features/forwarding_live.feature
+++ b/tests/features/forwarding_live.feature
@@ -25,6 +25,9 @@
   Scenario: Instances that restart after a restore use an older configuration and departed upstreams
     Then instances that restart in turn keep what the older copy of the store lacks
 
+  Scenario: A process sends a window at once although its link is slow
+    Then a window leaves at the rate of the link and in order, and its bytes are intact
+
   Scenario: A live upstream that many instances probe counts as failed
     Then a stand-in upstream accepts many connections, and none after it failed
 
--- a/tests/features/steps/forwarding_live_steps.py
+++ b/tests/features/steps/forwarding_live_steps.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from collections import Counter
+from random import Random
 
 from behave import given, then
 
@@ -12,12 +13,13 @@
 from tests import forwarding_rig as rig
 from tools.packet_deployment import Deployment
 from tools.packet_soak import Soak
-from tools.packet_traffic import UPSTREAM_PORT, TrafficStandins, Upstream
+from tools.packet_traffic import PACKET_PORT, UPSTREAM_PORT, TrafficStandins, Upstream
 
 SUBNET = 81
 PAUSE_SUBNET = 82
 RESTORE_SUBNET = 83
 PROBE_SUBNET = 84
+LINK_SUBNET = 93
 PROBES = 200
 SOAK_SEED = 7
 SOAK_S = 6
@@ -291,3 +293,49 @@
     assert all(connects(upstream.host) for _ in range(PROBES))
     traffic.fail_upstream(upstream.name)
     assert not connects(upstream.host)
+
+
+def send_window(deployment, first, numbers):
+    """Send packets of a flow in an order; return when and in which order they arrive."""
+    (host,) = deployment.hosts
+    (upstream,) = deployment.upstreams
+    token = token_of(upstream.name)
+    arrivals = []
+
+    def record(_upstream, datagram, _sender):
+        packet = rig.HeaderFormat().decode(datagram[rig.FRAME_BYTES :])
+        assert packet is not None and packet.payload_bytes == 1200
+        arrivals.append((time.monotonic(), (packet.sequence - first) // 1200))
+
+    deployment.traffic._handle_at_upstream = record
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as client:
+        for number in numbers:
+            sequence = first + number * 1200
+            datagram = rig.packet(999, seq=sequence, ack=500, size=1200, token=token)
+            client.sendto(datagram, (host, PACKET_PORT))
+    deadline_s = time.monotonic() + 5
+    while len(arrivals) < len(numbers) and time.monotonic() < deadline_s:
+        time.sleep(0.01)
+    return arrivals
+
+
+@then('a window leaves at the rate of the link and in order, and its bytes are intact')
+def step_window(context):
+    deployment = Deployment({'a': 1}, {'orders': 1}, LINK_SUBNET, link_mbps=2.4)
+    context.add_cleanup(deployment.close)
+    deployment.wait_until_ready()
+    numbers = list(range(16))
+    durations_ms = []
+    for window in range(5):
+        Random(window).shuffle(numbers)
+        arrivals = send_window(deployment, 101 + window * 16 * 1200, numbers)
+        order = [number for _, number in arrivals]
+        assert sorted(order) == list(range(16)), order
+        # What has arrived before the process looks is sent at once, three packets.
+        assert order[3:] == sorted(order[3:]), order
+        durations_ms.append(1000 * (arrivals[-1][0] - arrivals[0][0]))
+        time.sleep(0.1)
+    # 16 kB in less than 40 ms overflow the link, and clients repeat after 200 ms. The
+    # best window counts for the upper bound: a busy machine delays the process.
+    assert min(durations_ms) > 40, durations_ms
+    assert min(durations_ms) < 200, durations_ms
--- a/tools/packet_deployment.py
+++ b/tools/packet_deployment.py
@@ -50,6 +50,7 @@
         subnet: int,
         links: StoreLinks | None = None,
         program: tuple[str, ...] = PROGRAM,
+        link_mbps: float = 1000.0,
     ) -> None:
         """
         Start all stand-ins and instances; call ``wait_until_ready`` before use.
@@ -67,8 +68,12 @@
             Proxies between the instances and the store.
         program
             Arguments to the interpreter that start an instance.
+        link_mbps
+            Stated rate of the link of each instance. The links themselves are not
+            limited.
         """
         self._program = program
+        self._link_mbps = link_mbps
         self.store = Store(('127.0.0.1', 0))
         domain_names = list(domains)
         self.upstreams = [
@@ -228,7 +233,7 @@
                 'datagram_address': f'{host}:{PACKET_PORT}',
                 'ready': f'{host}:{READY_PORT}',
             },
-            'limits': {'link_mbps': 1000.0},
+            'limits': {'link_mbps': self._link_mbps},
             'bounds': {
                 'grace_period_s': 4,
                 'config_apply_ms': 3000,
