--- a/tests/features/steps/forwarding_link_transfers_steps.py
+++ b/tests/features/steps/forwarding_link_transfers_steps.py
@@ -93,11 +93,6 @@
     assert carried * TRANSFER_BYTES / BYTES_PER_MS <= OBJECTIVE_MS
 
 
-def rig_flow(port):
-    """Return the identity of a flow of the bulk route."""
-    return rig.HeaderFormat().decode(rig.opening(port)).flow
-
-
 def released(forwarder, now_ms):
     """Return the ports whose openings leave the queue."""
     return [rig.flow_port(item) for item in forwarder.release_waiting(now_ms)]
@@ -106,20 +101,25 @@
 @then('a waiting transfer begins when another one ends, or its client stops')
 def step_release(context):
     forwarder = make_forwarder()
-    (first, *others), _, waiting = open_many(forwarder, 10)
-    waiting_port = 1000 + 1 + len(others)
+    forwarded, _, waiting = open_many(forwarder, 10)
     assert not released(forwarder, START_MS + 100)
-    token = rig.sent_token(first)
-    send(forwarder, 1000, START_MS + 150, token, size=TRANSFER_BYTES)
-    close(forwarder, 1000, START_MS + 150, token)
+    tokens = [rig.sent_token(delivery) for delivery in forwarded]
+    for port, token in enumerate(tokens, 1000):
+        send(forwarder, port, START_MS + 140, token, size=TRANSFER_BYTES * 3 // 4)
+    assert not open_at(forwarder, 2000, START_MS + 145)
+    assert len(forwarder.transfer_openings) == waiting + 1
+    send(forwarder, 1000, START_MS + 150, tokens[0], size=TRANSFER_BYTES)
+    close(forwarder, 1000, START_MS + 150, tokens[0])
+    # One transfer has ended, so one begins and the other one goes on waiting.
     assert len(released(forwarder, START_MS + 160)) == 1
-    assert len(forwarder.transfer_openings) == waiting - 1
-    for port in range(waiting_port, waiting_port + waiting):
-        if not forwarder.observer.has_flow(rig_flow(port)):
-            open_at(forwarder, port, START_MS + 200, copy=1)
-            open_at(forwarder, port, START_MS + 600, copy=2)
-    # No payload of the other transfers has arrived, so nothing keeps the next one.
-    assert len(released(forwarder, START_MS + 899)) == waiting - 1
+    forwarder = make_forwarder()
+    forwarded, _, waiting = open_many(forwarder, 10)
+    first_waiting = 1000 + len(forwarded)
+    for copy, age_ms in ((1, 200), (2, 600)):
+        for port in range(first_waiting, first_waiting + waiting):
+            assert not open_at(forwarder, port, START_MS + age_ms, copy)
+    # No payload of the first transfers has arrived, so nothing keeps the others.
+    assert len(released(forwarder, START_MS + 800)) == waiting
 
 
 @then('what the link cannot carry before the timeout of its route is reset at once')
@@ -228,7 +228,8 @@
     dispatcher = make_dispatcher(forwarder)
     (first, *_), _, _ = open_many(forwarder, 10)
     token = rig.sent_token(first)
-    send(forwarder, 1000, START_MS + 100, token, size=TRANSFER_BYTES)
+    for _copy in range(2):
+        send(forwarder, 1000, START_MS + 100, token, size=TRANSFER_BYTES)
     bulk = [payload(('client', 1), 1200 * number) for number in range(60)]
     list(dispatcher.send(bulk, START_MS + 100))
     dispatcher.sweep(START_MS + 100)
@@ -236,6 +237,7 @@
     (delivery,) = forwarder.release_waiting(START_MS + 200)
     lines = {line['event']: line for line in read_log(forwarder)}
     assert lines['transfer_finished']['sent_bytes'] == TRANSFER_BYTES
+    assert lines['transfer_finished']['arrived_bytes'] == 2 * TRANSFER_BYTES
     assert lines['transfer_finished']['duration_ms'] == 190
     assert lines['transfer_postponed']['outcome'] == 'reject'
     assert lines['transfer_released']['waited_ms'] == 200
