--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(BIN)/ruff check src tests tools platform
 	$(BIN)/flake8 src platform
 	$(BIN)/mypy
-	MYPYPATH=src:platform $(BIN)/mypy --strict --config-file pyproject.toml platform/main.py
+	MYPYPATH=src:platform $(BIN)/mypy --strict --config-file pyproject.toml platform/main.py platform/check.py
 	$(BIN)/lint-imports
 
 format: setup
