Observe what each upstream can have in progress, and stop at it

Cause: an upstream that is full answers at once with a few bytes. Its latency looked short, so it attracted flows; the lowest latency of the pool fell, so fewer requests counted against the limit of the pool; and the short answers made selection avoid the upstream for seconds while the others overflowed. Overdue openings above the limit filled the queues with requests that were late already.

Change: `observation.capacity` recognises a quick short answer of a busy upstream. It lowers the limit of the upstream, which recovers with time, and counts neither as latency nor as a failed request. `measure_pool` sums these limits, and `CapacityGate` refuses upstreams at their limit or at `max_connections`. Overdue openings wait on while the limit is reached and are dropped shortly before their client gives up. All of it is in force only for services whose routes have different priorities, or that state `max_connections`.

--- a/src/cardamomtiller/forwarding/admission/control.py
+++ b/src/cardamomtiller/forwarding/admission/control.py
@@ -11,11 +11,13 @@
     instance_limit,
     measure_pool,
 )
+from cardamomtiller.forwarding.admission.shortage import ShortageOptions
 from cardamomtiller.forwarding.admission.waitqueue import (
     WaitingOpening,
     WaitOptions,
     WaitQueue,
 )
+from cardamomtiller.forwarding.observation.capacity import CapacityTable
 from cardamomtiller.forwarding.observation.load import LoadTable
 from cardamomtiller.forwarding.observation.reachability import (
     PathState,
@@ -45,10 +47,19 @@
 
 
 class AdmissionOptions(NamedTuple):
-    """Options of the concurrency limit and of the wait queues."""
+    """
+    Options of the concurrency limit and of the wait queues.
+
+    Attributes
+    ----------
+    shortage
+        Order and limits of the services whose configuration asks for them, None for
+        the same order and limit of all services.
+    """
 
     limit: LimitOptions
     wait: WaitOptions
+    shortage: ShortageOptions | None = None
 
 
 class Decision(NamedTuple):
@@ -92,6 +103,7 @@
         options: AdmissionOptions,
         start_window: StartWindow,
         gates: GateSet,
+        capacity: CapacityTable | None = None,
     ) -> None:
         """Initialise without waiting packets, and with an unknown fleet."""
         self._directory = directory
@@ -101,6 +113,7 @@
         self._queues: dict[ServiceName, WaitQueue] = {}
         self._start_window = start_window
         self._gates = gates
+        self._capacity = capacity
         # Number of packets that were dropped because their clients no longer wait.
         self.abandoned = 0
         # Number of instances, None until the announcements of the others have arrived.
@@ -160,6 +173,32 @@
         self, service: ServiceName, queue: WaitQueue, now_ms: float
     ) -> Iterator[Release]:
         self.abandoned += sum(1 for _ in queue.pop_abandoned(now_ms))
+        shortage = self._shortage_of(service)
+        if shortage is None:
+            yield from self._release_overdue(service, queue, now_ms)
+            yield from self._release_below_limit(service, queue, now_ms)
+            return
+        # Overdue packets above the limit would fill the upstreams with requests that are
+        # late already, and every other request would be late too.
+        gone = queue.pop_older(shortage.give_up_ms, now_ms)
+        self.abandoned += sum(1 for _ in gone)
+        yield from self._release_below_limit(service, queue, now_ms)
+        if self._has_room(service, now_ms):
+            yield from self._release_overdue(service, queue, now_ms)
+
+    def _shortage_of(self, service: ServiceName) -> ShortageOptions | None:
+        """Return the options for a shortage if the configuration asks for them."""
+        if self._capacity is None or not self._capacity.is_observed(service):
+            return None
+        return self._options.shortage
+
+    def _has_room(self, service: ServiceName, now_ms: float) -> bool:
+        use, limit = self._measure(service, now_ms)
+        return use.in_progress < limit
+
+    def _release_overdue(
+        self, service: ServiceName, queue: WaitQueue, now_ms: float
+    ) -> Iterator[Release]:
         for overdue in queue.pop_overdue(now_ms):
             use, limit = self._measure(service, now_ms)
             yield Release(
@@ -170,6 +209,10 @@
                 limit,
                 len(queue),
             )
+
+    def _release_below_limit(
+        self, service: ServiceName, queue: WaitQueue, now_ms: float
+    ) -> Iterator[Release]:
         latency_ms = self._expected_latency_ms(service, now_ms)
         while queue:
             use, limit = self._measure(service, now_ms)
@@ -202,6 +245,8 @@
 
         Spares most opening packets the sum over a large pool.
         """
+        if self._capacity is not None and self._capacity.has_falls:
+            return False
         slots = self._directory.slots(service)
         capacity = slots * self._options.limit.requests_per_slot
         if self.instances is None:
@@ -218,6 +263,7 @@
             self._reachability,
             self._options.limit,
             now_ms,
+            self._capacity,
         )
         if self.instances is None:
             return use, max(1, min(use.capacity, self._start_window.size))
--- a/src/cardamomtiller/forwarding/admission/limit.py
+++ b/src/cardamomtiller/forwarding/admission/limit.py
@@ -14,6 +14,7 @@
 from math import inf
 from typing import NamedTuple
 
+from cardamomtiller.forwarding.observation.capacity import CapacityTable
 from cardamomtiller.forwarding.observation.load import LoadTable
 from cardamomtiller.forwarding.observation.reachability import PathState, Reachability
 from cardamomtiller.forwarding.placement.selection import min_latency_ms
@@ -122,6 +123,7 @@
     reachability: Reachability,
     options: LimitOptions,
     now_ms: float,
+    capacity: CapacityTable | None = None,
 ) -> PoolUse:
     """Return capacity and use of the upstreams of a pool that can be reached."""
     reachable = [
@@ -132,18 +134,23 @@
     if not reachable:
         return PoolUse(0, 0, None)
     upstream_loads = [loads.get_or_create(upstream.token) for upstream in reachable]
-    slots = sum(upstream.entry.slots for upstream in reachable)
     latency_ms = min_latency_ms(upstream_loads, now_ms)
     since_ms = (
         0 if latency_ms is None else now_ms - options.counted_latencies * latency_ms
     )
-    in_progress = loads.count_started_after(reachable[0].entry.service, since_ms)
+    service = reachable[0].entry.service
+    in_progress = loads.count_started_after(service, since_ms)
+    if capacity is not None and capacity.is_observed(service):
+        requests = sum(capacity.limit(upstream, now_ms) for upstream in reachable)
+    else:
+        slots = sum(upstream.entry.slots for upstream in reachable)
+        requests = slots * options.requests_per_slot
     reported_ms = loads.others_reported_ms
     is_reported = (
         reported_ms is not None and now_ms - reported_ms <= options.max_report_age_ms
     )
     return PoolUse(
-        slots * options.requests_per_slot,
+        requests,
         in_progress,
         sum(load.others_busy for load in upstream_loads) if is_reported else None,
     )
--- a/src/cardamomtiller/forwarding/admission/waitqueue.py
+++ b/src/cardamomtiller/forwarding/admission/waitqueue.py
@@ -116,8 +116,12 @@
 
     def pop_overdue(self, now_ms: float) -> Iterator[WaitingOpening]:
         """Remove and iterate over the packets that may not wait any longer."""
+        return self.pop_older(self._options.max_age_ms, now_ms)
+
+    def pop_older(self, age_ms: float, now_ms: float) -> Iterator[WaitingOpening]:
+        """Remove and iterate over the packets of flows that have an age."""
         for flow, opening in tuple(self._waiting.items()):
-            if now_ms - opening.opened_ms >= self._options.max_age_ms:
+            if now_ms - opening.opened_ms >= age_ms:
                 del self._waiting[flow]
                 yield opening
 
--- a/src/cardamomtiller/forwarding/observation/flows.py
+++ b/src/cardamomtiller/forwarding/observation/flows.py
@@ -64,6 +64,7 @@
         'key',
         'last_packet_ms',
         'last_payload_ms',
+        'quick_latency_ms',
         'request_started_ms',
         'requests',
         'retransmissions',
@@ -93,6 +94,8 @@
         # counting as load.
         self.unanswered_since_ms: float | None = None
         self.target_latency_ms: float | None = None
+        # Latency of an answer that may say "full", until its size is known.
+        self.quick_latency_ms: float | None = None
         self.requests = 0
         self.retransmissions = 0
 
--- a/src/cardamomtiller/forwarding/observation/load.py
+++ b/src/cardamomtiller/forwarding/observation/load.py
@@ -299,11 +299,9 @@
                 self.finish_request(flow, now_ms)
 
     def record_answer(self, flow: Flow, now_ms: float) -> float | None:
-        """Record an answer; return its latency, None without a request in progress."""
+        """End an answered request; return its latency, None if none is in progress."""
         started_ms = flow.request_started_ms
         if started_ms is None:
             return None
         self.finish_request(flow, now_ms)
-        elapsed_ms = now_ms - started_ms
-        self.get_or_create(flow.upstream.token).record_latency(elapsed_ms, now_ms)
-        return elapsed_ms
+        return now_ms - started_ms
--- a/src/cardamomtiller/forwarding/observation/outcomes.py
+++ b/src/cardamomtiller/forwarding/observation/outcomes.py
@@ -58,6 +58,11 @@
         self._mean_bytes[route] = mean_bytes + gain * (answer_bytes - mean_bytes)
         return answer_bytes < mean_bytes * self._options.short_share
 
+    def would_be_short(self, route: RouteAddress, answer_bytes: int) -> bool:
+        """Return whether an answer is a short one, without adding its size."""
+        mean_bytes = self._mean_bytes.get(route, answer_bytes)
+        return answer_bytes < mean_bytes * self._options.short_share
+
     def retain(self, routes: Iterable[RouteAddress]) -> None:
         """Delete all routes except the given ones."""
         kept = set(routes)
--- a/src/cardamomtiller/forwarding/placement/gates.py
+++ b/src/cardamomtiller/forwarding/placement/gates.py
@@ -23,6 +23,11 @@
 
     is_mandatory = False
 
+    @property
+    def is_active(self) -> bool:
+        """Whether the gate limits any upstream at all."""
+        return True
+
     @abstractmethod
     def admits(self, upstream: Upstream, now_ms: float) -> bool:
         """Return whether an upstream may get another flow now."""
@@ -42,7 +47,7 @@
     @property
     def is_empty(self) -> bool:
         """Whether no gate limits any upstream."""
-        return not self._gates
+        return not any(gate.is_active for gate in self._gates)
 
     def admitted(
         self, pool: Iterable[Upstream], now_ms: float, *, is_overdue: bool = False
@@ -61,7 +66,7 @@
             unless some upstream is admitted by all of them.
         """
         candidates = list(pool)
-        if not self._gates:
+        if self.is_empty:
             return candidates
         open_ones = [
             upstream for upstream in candidates if self._admits(upstream, now_ms)
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -3,13 +3,16 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
+from cardamomtiller.forwarding.admission.capacitygate import CapacityGate
 from cardamomtiller.forwarding.admission.control import (
     Admission,
     ReleaseReason,
     Verdict,
 )
 from cardamomtiller.forwarding.admission.limit import StartWindow
+from cardamomtiller.forwarding.admission.shortage import read_demands
 from cardamomtiller.forwarding.admission.waitqueue import WaitingOpening
+from cardamomtiller.forwarding.observation.capacity import CapacityTable
 from cardamomtiller.forwarding.observation.flows import Flow
 from cardamomtiller.forwarding.observation.unknowntokens import (
     NOT_STEADY,
@@ -21,7 +24,7 @@
     PacketFormat,
     format_address,
 )
-from cardamomtiller.forwarding.placement.gates import GateSet
+from cardamomtiller.forwarding.placement.gates import GateSet, PlacementGate
 from cardamomtiller.forwarding.placement.locality import Locality
 from cardamomtiller.forwarding.placement.selection import (
     Choice,
@@ -113,9 +116,18 @@
             options.missing_entry_grace_ms,
             options.departed_retention_ms,
         )
-        self._gates = GateSet() if gates is None else gates
         start_window = StartWindow(options.admission.limit)
-        self.observer = Observer(self.directory, options, self._reporter, start_window)
+        shortage = options.admission.shortage
+        capacity = CapacityTable(shortage.capacity) if shortage else None
+        self.observer = Observer(
+            self.directory, options, self._reporter, start_window, capacity
+        )
+        own_gates: list[PlacementGate] = []
+        self._capacity_gate: CapacityGate | None = None
+        if capacity is not None:
+            self._capacity_gate = CapacityGate(self.observer.loads, capacity)
+            own_gates.append(self._capacity_gate)
+        self._gates = GateSet(own_gates) if gates is None else gates
         self.admission = Admission(
             self.directory,
             self.observer.loads,
@@ -123,6 +135,7 @@
             options.admission,
             start_window,
             self._gates,
+            capacity,
         )
         self.steadiness = NOT_STEADY
 
@@ -140,8 +153,19 @@
             self.configuration = configuration
             self.directory.add_services(configuration.services)
             self.observer.retain_routes(configuration.routes)
+            self._apply_demands(configuration)
             self._reporter.configuration_applied(configuration, previous, now_ms)
 
+    def _apply_demands(self, configuration: Configuration) -> None:
+        capacity = self.observer.capacity
+        if capacity is None or self._capacity_gate is None:
+            return
+        demands = read_demands(configuration)
+        self._capacity_gate.demands = demands
+        capacity.targets_ms = {
+            service: demand.target_ms for service, demand in demands.items()
+        }
+
     def is_outdated(self, change: DecodedRecord | None) -> bool:
         """Return whether a record from an older copy precedes what is in force."""
         if isinstance(change, Configuration):
--- a/src/cardamomtiller/forwarding/routing/observing.py
+++ b/src/cardamomtiller/forwarding/routing/observing.py
@@ -4,6 +4,7 @@
 from math import exp
 
 from cardamomtiller.forwarding.admission.limit import StartWindow
+from cardamomtiller.forwarding.observation.capacity import CapacityTable
 from cardamomtiller.forwarding.observation.flows import Flow, FlowTable, Observation
 from cardamomtiller.forwarding.observation.load import LoadTable, UpstreamLoad
 from cardamomtiller.forwarding.observation.outcomes import (
@@ -41,6 +42,7 @@
         options: ForwardingOptions,
         reporter: Reporter,
         start_window: StartWindow,
+        capacity: CapacityTable | None = None,
     ) -> None:
         """Initialise with an empty flow table."""
         self._directory = directory
@@ -51,6 +53,7 @@
         self.reachability = Reachability(options.reachability)
         self._newly_unreachable: list[Upstream] = []
         self._start_window = start_window
+        self.capacity = capacity
         self._answer_sizes = AnswerSizes(options.outcomes)
         self._outcomes_updated_ms: float = 0
 
@@ -207,6 +210,8 @@
             self.loads.remove_flow(idle, now_ms)
         self.loads.finish_overdue_requests(self._options.flows, now_ms)
         self._update_outcomes(now_ms)
+        if self.capacity:
+            self.capacity.expire(now_ms)
         self.loads.retain({upstream.token for upstream in self._directory})
         self._reporter.meters.set_gauge('flows', len(self._flows))
 
@@ -220,14 +225,12 @@
         self, flow: Flow, observation: Observation, now_ms: float
     ) -> None:
         if observation in {Observation.REQUEST, Observation.END}:
-            self._record_answer_size(flow)
+            self._record_answer_size(flow, now_ms)
         if observation is Observation.REQUEST:
             self.loads.start_request(flow, now_ms)
         elif observation is Observation.ANSWER:
             self._record_response(flow.upstream, now_ms)
-            elapsed_ms = self.loads.record_answer(flow, now_ms)
-            if elapsed_ms is not None:
-                self._record_latency(flow, elapsed_ms)
+            self._handle_answer(flow, now_ms)
         elif observation is Observation.RETRANSMISSION:
             self._reporter.meters.count('retransmissions')
             self._handle_retransmission(flow, now_ms)
@@ -235,12 +238,43 @@
             self._flows.remove(flow.key)
             self.loads.remove_flow(flow, now_ms)
 
-    def _record_answer_size(self, flow: Flow) -> None:
+    def _handle_answer(self, flow: Flow, now_ms: float) -> None:
+        elapsed_ms = self.loads.record_answer(flow, now_ms)
+        if elapsed_ms is None:
+            return
+        # Without a limit of the upstream, a quick answer counts like any other.
+        flow.quick_latency_ms = None
+        if self._may_be_full(flow, elapsed_ms, now_ms):
+            flow.quick_latency_ms = elapsed_ms
+        else:
+            self._record_latency(flow, elapsed_ms, now_ms)
+
+    def _may_be_full(self, flow: Flow, elapsed_ms: float, now_ms: float) -> bool:
+        if self.capacity is None:
+            return False
+        load = self.loads.get_or_create(flow.upstream.token)
+        return self.capacity.may_be_full(flow.upstream, load, elapsed_ms, now_ms)
+
+    def _record_answer_size(self, flow: Flow, now_ms: float) -> None:
         answer_bytes = flow.take_answer_bytes()
-        if answer_bytes:
-            is_short = self._answer_sizes.is_short(flow.key.route, answer_bytes)
-            load = self.loads.get_or_create(flow.upstream.token)
-            load.record_answer_size(is_short)
+        quick_latency_ms = flow.quick_latency_ms
+        flow.quick_latency_ms = None
+        if not answer_bytes:
+            return
+        route = flow.key.route
+        load = self.loads.get_or_create(flow.upstream.token)
+        if (
+            self.capacity
+            and quick_latency_ms is not None
+            and self._answer_sizes.would_be_short(route, answer_bytes)
+        ):
+            # Neither its size nor its latency say anything about executed requests.
+            limit = self.capacity.record_full(flow.upstream, now_ms)
+            self._reporter.upstream_full(flow.key, flow.upstream, load, limit, now_ms)
+            return
+        load.record_answer_size(self._answer_sizes.is_short(route, answer_bytes))
+        if quick_latency_ms is not None:
+            self._record_latency(flow, quick_latency_ms, now_ms)
 
     def _update_outcomes(self, now_ms: float) -> None:
         elapsed_ms = now_ms - self._outcomes_updated_ms
@@ -256,7 +290,9 @@
                 self._options.outcomes,
             )
 
-    def _record_latency(self, flow: Flow, latency_ms: float) -> None:
+    def _record_latency(self, flow: Flow, latency_ms: float, now_ms: float) -> None:
+        load = self.loads.get_or_create(flow.upstream.token)
+        load.record_latency(latency_ms, now_ms)
         self._reporter.meters.observe('request_ms', latency_ms)
         if flow.target_latency_ms is not None:
             self._start_window.record_answer(latency_ms, flow.target_latency_ms)
--- a/src/cardamomtiller/forwarding/telemetry/reporting.py
+++ b/src/cardamomtiller/forwarding/telemetry/reporting.py
@@ -3,6 +3,7 @@
 from enum import Enum
 
 from cardamomtiller.forwarding.admission.control import Decision, Release
+from cardamomtiller.forwarding.observation.load import UpstreamLoad
 from cardamomtiller.forwarding.observation.reachability import PathChange
 from cardamomtiller.forwarding.observation.unknowntokens import Steadiness
 from cardamomtiller.forwarding.packet import FlowKey, Packet, Token, format_flow
@@ -110,6 +111,26 @@
             else round(now_ms - last_response_ms),
         )
 
+    def upstream_full(
+        self,
+        flow: FlowKey,
+        upstream: Upstream,
+        load: UpstreamLoad,
+        limit: float,
+        now_ms: float,
+    ) -> None:
+        """Report an answer that says that its upstream was full, and the new limit."""
+        self.meters.count('answers_full')
+        self._log.write(
+            'upstream_full',
+            now_ms,
+            flow=format_flow(flow),
+            upstream=upstream.entry.upstream,
+            in_progress=load.in_progress,
+            others_busy=round(load.others_busy, 2),
+            limit=_rounded(limit),
+        )
+
     def reachability_changed(
         self,
         change: PathChange,
--- a/tests/forwarding_rig.py
+++ b/tests/forwarding_rig.py
@@ -55,7 +55,17 @@
 FORWARDING_WITHOUT_LIMIT = DEFAULT_FORWARDING._replace(admission=UNLIMITED)
 
 
-def packet(port, flags=ACK_FLAG, *, seq=0, ack=0, size=0, token=0, route_port=443):
+def packet(
+    port,
+    flags=ACK_FLAG,
+    *,
+    seq=0,
+    ack=0,
+    size=0,
+    token=0,
+    route_port=443,
+    client_ip=CLIENT_IP,
+):
     """Return the datagram of a packet from the client."""
     header = HEADER.pack(
         seq,
@@ -66,7 +76,7 @@
         size,
         token,
         port,
-        CLIENT_IP,
+        client_ip,
         route_port,
         ROUTE_IP,
     )
