Keep a reserve for urgent flows, and bound limits by completions

Cause: at the limit, an urgent opening met the same full pool as all others, and waited behind less urgent ones until the next release. An upstream that had become slow kept the limit of a fast one.

Change: less urgent flows use 0.8 of the limit of an instance; an urgent one is forwarded past less urgent ones that wait. The limit of a busy upstream is what it completes within the latency objective, by the answers of the load reports, unless there are too few observations or more answers than a report holds. While the pool has unused room, an instance may exceed its equal part by one standard deviation, so that instances with few requests do not let them wait.

--- a/src/cardamomtiller/forwarding/admission/capacitygate.py
+++ b/src/cardamomtiller/forwarding/admission/capacitygate.py
@@ -31,7 +31,7 @@
             return True
         load = self._loads.get_or_create(upstream.token)
         in_progress = load.in_progress + load.others_busy
-        if in_progress >= self._capacity.limit(upstream, now_ms):
+        if in_progress >= self._capacity.limit(upstream, load, now_ms):
             return False
         return not demand.max_connections or flows_at(load) < demand.max_connections
 
--- a/src/cardamomtiller/forwarding/admission/control.py
+++ b/src/cardamomtiller/forwarding/admission/control.py
@@ -1,6 +1,6 @@
 """Decides whether an opening packet is forwarded at once, waits, or is rejected."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from enum import Enum
 from typing import NamedTuple
 
@@ -8,10 +8,14 @@
     LimitOptions,
     PoolUse,
     StartWindow,
+    fluctuation_allowance,
     instance_limit,
     measure_pool,
 )
-from cardamomtiller.forwarding.admission.shortage import ShortageOptions
+from cardamomtiller.forwarding.admission.shortage import (
+    ServiceDemand,
+    ShortageOptions,
+)
 from cardamomtiller.forwarding.admission.waitqueue import (
     WaitingOpening,
     WaitOptions,
@@ -114,6 +118,7 @@
         self._start_window = start_window
         self._gates = gates
         self._capacity = capacity
+        self.demands: Mapping[ServiceName, ServiceDemand] = {}
         # Number of packets that were dropped because their clients no longer wait.
         self.abandoned = 0
         # Number of instances, None until the announcements of the others have arrived.
@@ -142,7 +147,9 @@
         if not queue and can_place and self._is_far_below_limit(service):
             return Decision(Verdict.FORWARD, self._loads.total_in_progress, None, 0)
         use, limit = self._measure(service, now_ms)
-        if not queue and can_place and use.in_progress < limit:
+        if self._is_first(queue, service, route) and (
+            can_place and use.in_progress < self._limit_of(service, route, limit)
+        ):
             return Decision(Verdict.FORWARD, use.in_progress, limit, 0)
         if queue is None:
             queue = self._queues[service] = WaitQueue(self._options.wait)
@@ -183,8 +190,29 @@
         gone = queue.pop_older(shortage.give_up_ms, now_ms)
         self.abandoned += sum(1 for _ in gone)
         yield from self._release_below_limit(service, queue, now_ms)
-        if self._has_room(service, now_ms):
-            yield from self._release_overdue(service, queue, now_ms)
+        yield from self._release_refused(service, queue, now_ms)
+
+    def _is_first(
+        self, queue: WaitQueue | None, service: ServiceName, route: Route
+    ) -> bool:
+        """Return whether a new packet goes before all that wait."""
+        if not queue:
+            return True
+        return self._is_urgent(service, route) and not queue.has_urgent(route.priority)
+
+    def _is_urgent(self, service: ServiceName, route: Route) -> bool:
+        demand = self.demands.get(service)
+        return demand is not None and demand.urgent_priority == route.priority
+
+    def _limit_of(self, service: ServiceName, route: Route, limit: float) -> float:
+        """Return the limit without the reserve that a route may not use."""
+        shortage = self._shortage_of(service)
+        demand = self.demands.get(service)
+        if shortage is None or demand is None or demand.urgent_priority is None:
+            return limit
+        if demand.urgent_priority == route.priority:
+            return limit
+        return max(1, limit * (1 - shortage.reserve_share))
 
     def _shortage_of(self, service: ServiceName) -> ShortageOptions | None:
         """Return the options for a shortage if the configuration asks for them."""
@@ -192,9 +220,23 @@
             return None
         return self._options.shortage
 
-    def _has_room(self, service: ServiceName, now_ms: float) -> bool:
-        use, limit = self._measure(service, now_ms)
-        return use.in_progress < limit
+    def _release_refused(
+        self, service: ServiceName, queue: WaitQueue, now_ms: float
+    ) -> Iterator[Release]:
+        """Release overdue packets that only a gate refuses, not the limit."""
+        for overdue in tuple(queue.pop_overdue(now_ms)):
+            use, limit = self._measure(service, now_ms)
+            if use.in_progress >= self._limit_of(service, overdue.route, limit):
+                queue.put_back(overdue)
+                continue
+            yield Release(
+                overdue,
+                service,
+                ReleaseReason.AGE,
+                use.in_progress,
+                limit,
+                len(queue),
+            )
 
     def _release_overdue(
         self, service: ServiceName, queue: WaitQueue, now_ms: float
@@ -218,8 +260,12 @@
             use, limit = self._measure(service, now_ms)
             if use.in_progress >= limit or not self._can_place(service, now_ms):
                 return
+            opening = queue.pop_next(latency_ms, now_ms)
+            if use.in_progress >= self._limit_of(service, opening.route, limit):
+                queue.put_back(opening)
+                return
             yield Release(
-                queue.pop_next(latency_ms, now_ms),
+                opening,
                 service,
                 ReleaseReason.CAPACITY,
                 use.in_progress,
@@ -267,7 +313,10 @@
         )
         if self.instances is None:
             return use, max(1, min(use.capacity, self._start_window.size))
-        return use, instance_limit(use, self.instances)
+        limit = instance_limit(use, self.instances)
+        if self._shortage_of(service) is not None:
+            limit += fluctuation_allowance(use, self.instances)
+        return use, limit
 
     def _expected_latency_ms(self, service: ServiceName, now_ms: float) -> float:
         loads = (
--- a/src/cardamomtiller/forwarding/admission/limit.py
+++ b/src/cardamomtiller/forwarding/admission/limit.py
@@ -11,7 +11,7 @@
 """
 
 from collections.abc import Sequence
-from math import inf
+from math import inf, sqrt
 from typing import NamedTuple
 
 from cardamomtiller.forwarding.observation.capacity import CapacityTable
@@ -117,6 +117,20 @@
     return max(1, share + unused / instances)
 
 
+def fluctuation_allowance(use: PoolUse, instances: int) -> float:
+    """
+    Return by how much an instance may exceed its limit while the pool has unused room.
+
+    An instance with a small part of the requests has, by chance, about one standard
+    deviation more than its equal part in progress at once. Without the allowance they
+    would wait although upstreams are idle.
+    """
+    if use.others_busy is None or use.capacity <= 0:
+        return 0
+    unused = max(0, use.capacity - use.others_busy - use.in_progress)
+    return sqrt(use.capacity / instances) * unused / use.capacity
+
+
 def measure_pool(
     pool: Sequence[Upstream],
     loads: LoadTable,
@@ -141,7 +155,10 @@
     service = reachable[0].entry.service
     in_progress = loads.count_started_after(service, since_ms)
     if capacity is not None and capacity.is_observed(service):
-        requests = sum(capacity.limit(upstream, now_ms) for upstream in reachable)
+        requests = sum(
+            capacity.limit(upstream, load, now_ms)
+            for upstream, load in zip(reachable, upstream_loads, strict=True)
+        )
     else:
         slots = sum(upstream.entry.slots for upstream in reachable)
         requests = slots * options.requests_per_slot
--- a/src/cardamomtiller/forwarding/admission/shortage.py
+++ b/src/cardamomtiller/forwarding/admission/shortage.py
@@ -27,10 +27,13 @@
     give_up_ms
         Age of a flow at which its opening packet is dropped, since its client is about
         to abandon it.
+    reserve_share
+        Share of the limit of the instance that only the most urgent requests may use.
     """
 
     capacity: CapacityOptions
     give_up_ms: float
+    reserve_share: float
 
 
 class ServiceDemand(NamedTuple):
@@ -80,4 +83,5 @@
     capacity=DEFAULT_CAPACITY,
     # Clients abandon an unanswered opening packet after 1400 ms.
     give_up_ms=1350,
+    reserve_share=0.2,
 )
--- a/src/cardamomtiller/forwarding/admission/waitqueue.py
+++ b/src/cardamomtiller/forwarding/admission/waitqueue.py
@@ -125,6 +125,12 @@
                 del self._waiting[flow]
                 yield opening
 
+    def has_urgent(self, priority: int) -> bool:
+        """Return whether a packet waits that is at least as urgent as a priority."""
+        return any(
+            opening.route.priority <= priority for opening in self._waiting.values()
+        )
+
     def pop_next(self, latency_ms: float, now_ms: float) -> WaitingOpening:
         """
         Remove and return the packet that leaves next; at least one must wait.
@@ -149,6 +155,10 @@
             selected = min(timely, key=_newest_first)
         return self._waiting.pop(selected.packet.flow)
 
+    def put_back(self, opening: WaitingOpening) -> None:
+        """Let a packet wait on that may not leave yet."""
+        self._waiting[opening.packet.flow] = opening
+
     def pop_all(self) -> Iterator[WaitingOpening]:
         """Remove and iterate over all packets, in the order of their arrival."""
         while self._waiting:
--- a/src/cardamomtiller/forwarding/observation/load.py
+++ b/src/cardamomtiller/forwarding/observation/load.py
@@ -14,6 +14,9 @@
 
 # Time constant: an unanswered request counts 1/e of its weight after this time.
 UNANSWERED_DECAY_MS = 3000.0
+# Time constant: an answer counts 1/e of its weight after this time. An upstream that
+# gets no flows because it failed is tried again after a few times as long.
+ANSWER_DECAY_MS = 5000.0
 # Weight of the newest sample in the exponential moving average of the latency.
 LATENCY_GAIN = 0.1
 # An older mean latency is ignored, so that an upstream that was slow once and got no
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -162,6 +162,7 @@
             return
         demands = read_demands(configuration)
         self._capacity_gate.demands = demands
+        self.admission.demands = demands
         capacity.targets_ms = {
             service: demand.target_ms for service, demand in demands.items()
         }
--- a/src/cardamomtiller/forwarding/routing/observing.py
+++ b/src/cardamomtiller/forwarding/routing/observing.py
@@ -6,7 +6,11 @@
 from cardamomtiller.forwarding.admission.limit import StartWindow
 from cardamomtiller.forwarding.observation.capacity import CapacityTable
 from cardamomtiller.forwarding.observation.flows import Flow, FlowTable, Observation
-from cardamomtiller.forwarding.observation.load import LoadTable, UpstreamLoad
+from cardamomtiller.forwarding.observation.load import (
+    ANSWER_DECAY_MS,
+    LoadTable,
+    UpstreamLoad,
+)
 from cardamomtiller.forwarding.observation.outcomes import (
     AnswerSizes,
     update_short_excess,
@@ -28,9 +32,6 @@
 from cardamomtiller.ids import UpstreamId
 
 OUTCOME_INTERVAL_MS = 500
-# Time constant: an answer counts 1/e of its weight after this time. An upstream that
-# gets no flows because it failed is tried again after a few times as long.
-ANSWER_DECAY_MS = 5000.0
 
 
 class Observer:
@@ -269,7 +270,7 @@
             and self._answer_sizes.would_be_short(route, answer_bytes)
         ):
             # Neither its size nor its latency say anything about executed requests.
-            limit = self.capacity.record_full(flow.upstream, now_ms)
+            limit = self.capacity.record_full(flow.upstream, load, now_ms)
             self._reporter.upstream_full(flow.key, flow.upstream, load, limit, now_ms)
             return
         load.record_answer_size(self._answer_sizes.is_short(route, answer_bytes))
--- a/tests/features/forwarding_overload.feature
+++ b/tests/features/forwarding_overload.feature
@@ -9,6 +9,15 @@
     Then an upstream at its observed limit or its connection limit gets no flow
     And an overdue packet is forwarded although all upstreams are at their limit
 
+  Scenario: An upstream that has become slow gets as many requests as before
+    Then the limit of a busy upstream falls to what it completes within the objective
+    But few observations, or more answers than a report contains, lower no limit
+
+  Scenario: Less urgent requests take the room of urgent ones
+    Then a less urgent flow waits while an urgent one is forwarded from the reserve
+    And an urgent flow is not held back by less urgent ones that wait
+    And urgent requests are in time at least as often in each second of a burst
+
   Scenario: Requests meet full upstreams after a part of the pool is lost in a burst
     Then at most 2% of the arrivals meet a full upstream
     And more requests are in time than with earlier or simpler policies
--- a/tests/features/steps/forwarding_overload_steps.py
+++ b/tests/features/steps/forwarding_overload_steps.py
@@ -85,7 +85,8 @@
 def limit_of(forwarder, now_ms):
     """Return the observed limit of the first upstream."""
     (upstream, *_) = forwarder.directory.pool('orders')
-    return forwarder.observer.capacity.limit(upstream, now_ms)
+    load = forwarder.observer.loads.get_or_create(upstream.token)
+    return forwarder.observer.capacity.limit(upstream, load, now_ms)
 
 
 def answer_full(forwarder, now_ms):
@@ -163,9 +164,86 @@
     assert not rig.is_reset(delivery)
 
 
+def limit_with(answers, others_answers):
+    """Return the limit of a busy upstream by its recent answers."""
+    forwarder = classed_forwarder()
+    forwarder.sweep(0)
+    now_ms = 60_000
+    forwarder.sweep(now_ms)
+    ((_, load),) = forwarder.observer.loads
+    load.others_busy = 3.0
+    load.answers = answers
+    load.others_answers = others_answers
+    return limit_of(forwarder, now_ms)
+
+
+@then('the limit of a busy upstream falls to what it completes within the objective')
+def step_little(context):
+    ceiling = SLOTS * CAPACITY.requests_per_slot
+    # 150 answers in 5 s are 3 within the objective of 100 ms.
+    assert SLOTS < round(limit_with(100, 50), 2) == 3 < ceiling
+    assert limit_with(0, 1) == SLOTS
+
+
+@then('few observations, or more answers than a report contains, lower no limit')
+def step_unknown_completions(context):
+    ceiling = SLOTS * CAPACITY.requests_per_slot
+    assert limit_with(0, 63.75) == ceiling
+    assert limit_of(classed_forwarder(), 0) == ceiling
+
+
+OTHER_PORT = 444
+
+
+@then('a less urgent flow waits while an urgent one is forwarded from the reserve')
+def step_reserve(context):
+    forwarder = classed_forwarder(('u-1', 'u-2', 'u-3'))
+    forwarder.admission.instances = 1
+    ports = range(1000, 1100)
+    placed = 0
+    for port in ports:
+        if not rig.handle(forwarder, rig.opening(port, route_port=OTHER_PORT), 0):
+            break
+        placed += 1
+    limit = 3 * SLOTS * CAPACITY.requests_per_slot
+    reserve = limit * DEFAULT_ADMISSION.shortage.reserve_share
+    assert limit - reserve <= placed < limit
+    assert len(rig.handle(forwarder, rig.opening(2000), 0)) == 1
+
+
+@then('an urgent flow is not held back by less urgent ones that wait')
+def step_urgent_first(context):
+    forwarder = classed_forwarder(('u-1', 'u-2', 'u-3'))
+    forwarder.admission.instances = 1
+    for port in range(1000, 1100):
+        rig.handle(forwarder, rig.opening(port, route_port=OTHER_PORT), 0)
+    assert forwarder.admission.waiting
+    assert len(rig.handle(forwarder, rig.opening(2000), 0)) == 1
+    assert not list(forwarder.release_waiting(10))
+
+
 LOSS = replays.LOSSES[0]
 
 
+@then('urgent requests are in time at least as often in each second of a burst')
+def step_urgent_share(context):
+    start_ms = replays.OUTAGE_START_MS
+    for since_ms in (start_ms, start_ms + 1000):
+        counts = [
+            [
+                replay.count(priority, since_ms, since_ms + 1000)
+                for replay in run(LOSS, 'new')
+            ]
+            for priority in (replays.URGENT_PRIORITY, replays.OTHER_PRIORITY)
+        ]
+        urgent, other = (
+            sum(count[Outcome.IN_TIME] for count in runs)
+            / sum(sum(count.values()) for count in runs)
+            for runs in counts
+        )
+        assert urgent >= other, (since_ms, urgent, other)
+
+
 @then('at most 2% of the arrivals meet a full upstream')
 def step_full_share(context):
     runs = run(LOSS, 'new')
