--- a/src/cardamomtiller/forwarding/observation/load.py
+++ b/src/cardamomtiller/forwarding/observation/load.py
@@ -14,6 +14,9 @@
 
 # Time constant: an unanswered request counts 1/e of its weight after this time.
 UNANSWERED_DECAY_MS = 3000.0
+# Time constant: an answer counts 1/e of its weight after this time. An upstream that
+# gets no flows because it failed is tried again after a few times as long.
+ANSWER_DECAY_MS = 5000.0
 # Weight of the newest sample in the exponential moving average of the latency.
 LATENCY_GAIN = 0.1
 # An older mean latency is ignored, so that an upstream that was slow once and got no
@@ -299,11 +302,9 @@
                 self.finish_request(flow, now_ms)
 
     def record_answer(self, flow: Flow, now_ms: float) -> float | None:
-        """Record an answer; return its latency, None without a request in progress."""
+        """End an answered request; return its latency, None if none is in progress."""
         started_ms = flow.request_started_ms
         if started_ms is None:
             return None
         self.finish_request(flow, now_ms)
-        elapsed_ms = now_ms - started_ms
-        self.get_or_create(flow.upstream.token).record_latency(elapsed_ms, now_ms)
-        return elapsed_ms
+        return now_ms - started_ms
