Measure how evenly many instances load the upstreams

Operators ask for even load although load reports are 0.1 to 1.5 s old. The existing replays run 9 whole forwarders, too few for the effect, and whole forwarders are too slow for hundreds.

--- a/Makefile
+++ b/Makefile
@@ -80,6 +80,7 @@
 
 bench-replay: setup
 	$(BIN)/python -m tools.forwarding_replay
+	$(BIN)/python -m tools.evenness_replay
 
 measures: setup
 	$(BIN)/python -m tools.measures
