Assume the least reported load for upstreams without a row

In a large failure domain a report has room for the busiest upstreams only: 36 of 60 with 65 members, 16 with 197. An upstream without a row counted as idle, so every instance selected the upstreams that had just fallen out of the report.

Such an upstream has at most the least load that is reported, and counts with it. Reports below their limit of rows omit idle upstreams only, as before; fleets of some ten instances never reach the limit. More rows, or a turn of the rows, were ruled out: they cost bytes, or make rows older.

--- a/src/cardamomtiller/forwarding/fleet/loadreport.py
+++ b/src/cardamomtiller/forwarding/fleet/loadreport.py
@@ -89,6 +89,24 @@
     return tuple(ranked[:limit])
 
 
+def unreported_busy(rows: tuple[LoadRow, ...], limit: int) -> float:
+    """
+    Return the load to assume for upstreams that a report has no row of.
+
+    Parameters
+    ----------
+    rows
+        Rows of the report.
+    limit
+        Number of rows from which others may have been left out. Those have at most the
+        least load that is reported; if they counted as idle, all instances would select
+        them.
+    """
+    if len(rows) < min(limit, MAX_DATAGRAM_ROWS):
+        return 0
+    return min((row.busy for row in rows), default=0)
+
+
 def _importance(row: LoadRow) -> float:
     return row.busy + row.unanswered + row.short_answers
 
--- a/src/cardamomtiller/forwarding/fleet/loadsharing.py
+++ b/src/cardamomtiller/forwarding/fleet/loadsharing.py
@@ -21,6 +21,7 @@
     LoadRow,
     ReportKind,
     busiest_rows,
+    unreported_busy,
 )
 from cardamomtiller.forwarding.member import Member, rank
 from cardamomtiller.forwarding.observation.load import MAX_REPORT_AGE_MS, LoadTable
@@ -85,6 +86,7 @@
         self._unanswered_since_ms: dict[str, float] = {}
         self._next_report_ms: float = 0
         self._next_domain_report_ms: float = 0
+        self._peers = 0
 
     def update_loads(self, now_ms: float) -> None:
         """Update the load table with the mean local loads and the reported loads."""
@@ -93,11 +95,13 @@
                 del self._reports_by_host[host]
         for _, load in self._loads:
             load.update_mean_busy(now_ms, self._options.horizon_ms)
-        rows_by_token = {row.token: row for row in self._rows_of_others(now_ms)}
+        rows = tuple(self._rows_of_others(now_ms))
+        rows_by_token = {row.token: row for row in rows}
+        unreported = self._unreported_busy(rows)
         self._loads.others_reported_ms = self._last_report_ms()
         for token, load in self._loads:
             row = rows_by_token.get(token)
-            load.others_busy = row.busy if row else 0
+            load.others_busy = row.busy if row else unreported
             load.others_unanswered = row.unanswered if row else 0
             load.others_answers = row.answers if row else 0
             load.others_short_answers = row.short_answers if row else 0
@@ -126,6 +130,7 @@
         peers = [
             peer for peer in all_members if peer.domain == self._local_member.domain
         ]
+        self._peers = len(peers)
         if now_ms >= self._next_report_ms:
             scaled_ms = self._options.interval_per_member_ms * len(peers)
             self._next_report_ms = now_ms + max(self._options.interval_ms, scaled_ms)
@@ -173,6 +178,12 @@
             received = [self._aggregator_answer]
         return max((report.received_ms for report in received), default=None)
 
+    def _unreported_busy(self, rows: tuple[LoadRow, ...]) -> float:
+        """Return the load of upstreams without a row; an aggregator omits none."""
+        if self._aggregator_answer is None:
+            return 0
+        return unreported_busy(rows, self._max_rows(self._peers))
+
     def _max_rows(self, members: int) -> int:
         """Return the largest number of rows of a report, by the number of members."""
         return max(MIN_REPORT_ROWS, self._options.rows_per_domain // max(1, members))
