Place flows by shares where own requests tell little of the load

Load reports are 0.1 to 2 s old and requests take 5 to 50 ms. An instance of many saw its own requests at few upstreams, so the least reported load decided, and all instances selected the same upstream until the next report. Speeds of upstreams, which no entry states, were hardly seen either.

An instance with less than a sixteenth of the requests in progress gives each upstream a share of its flows, by weighted deficit round robin among those whose costs differ by at most 0.15 (placement/staleload). The share is the slots by the own mean latency, times a correction that each report moves towards equal load per slot. It prefers eight upstreams by rendezvous hashing, of its own failure domain first, and tries one other in turn, so that each upstream is reached from every instance of the domain (placement/subset). Are all busy or not reachable, the pool is compared as before. Nothing is added to the reports. PlacementOptions.spread = None turns it off; a fleet of 9 instances places each flow as before.

--- a/src/cardamomtiller/forwarding/fleet/loadsharing.py
+++ b/src/cardamomtiller/forwarding/fleet/loadsharing.py
@@ -105,6 +105,7 @@
             load.others_unanswered = row.unanswered if row else 0
             load.others_answers = row.answers if row else 0
             load.others_short_answers = row.short_answers if row else 0
+        self._loads.update_own_share()
 
     def due_reports(
         self,
--- a/src/cardamomtiller/forwarding/observation/load.py
+++ b/src/cardamomtiller/forwarding/observation/load.py
@@ -72,6 +72,13 @@
         Counts since the last response; see `SilenceOptions`.
     last_placed_ms
         Time when a flow was last placed on the upstream.
+    credit
+        Flows that the upstream is owed by its share, negative if it got more; None
+        before the first one.
+    correction
+        Factor of its share, which the load reports correct.
+    corrected_ms
+        Time of the last change of the correction.
     """
 
     __slots__ = (
@@ -81,6 +88,9 @@
         '_unanswered_count',
         '_unanswered_updated_ms',
         'answers',
+        'corrected_ms',
+        'correction',
+        'credit',
         'in_progress',
         'last_placed_ms',
         'last_response_ms',
@@ -116,6 +126,9 @@
         self.unanswered_opens = 0
         self.retransmitting_flows = 0
         self.last_placed_ms: float = 0
+        self.credit: float | None = None
+        self.correction: float = 1
+        self.corrected_ms: float = 0
         self._busy_total_ms: float = 0
         self._accumulated_until_ms: float = 0
         self._mean_updated_ms: float | None = None
@@ -219,6 +232,8 @@
         self._flows_in_progress: dict[FlowKey, Flow] = {}
         # Time of the last update with a report of another instance.
         self.others_reported_ms: float | None = None
+        # Part of all requests in progress that are of this instance, by the last report.
+        self.own_share: float = 1
 
     def __iter__(self) -> Iterator[tuple[Token, UpstreamLoad]]:
         """Iterate over a snapshot of all tokens and estimates."""
@@ -252,6 +267,13 @@
         for token in self._loads.keys() - tokens:
             del self._loads[token]
 
+    def update_own_share(self) -> None:
+        """Compare the load of this instance with a report of the others."""
+        own_busy = sum(load.mean_busy for load in self._loads.values())
+        others_busy = sum(load.others_busy for load in self._loads.values())
+        if others_busy > 0:
+            self.own_share = own_busy / (own_busy + others_busy)
+
     def add_flow(self, flow: Flow) -> None:
         """Count a flow as open at its upstream."""
         self.get_or_create(flow.upstream.token).open_flows += 1
--- a/src/cardamomtiller/forwarding/placement/locality.py
+++ b/src/cardamomtiller/forwarding/placement/locality.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from cardamomtiller.ids import DomainName, RegionName
+from cardamomtiller.ids import DomainName, InstanceId, RegionName
 
 
 class Distance(Enum):
@@ -25,10 +25,13 @@
         Failure domain of the instance.
     regions
         Region of each failure domain that the settings assign to a region.
+    instance
+        The instance, whose preferred upstreams follow from its id.
     """
 
     domain: DomainName
     regions: Mapping[DomainName, RegionName]
+    instance: InstanceId = InstanceId('')
 
     def distance(self, domain: DomainName) -> Distance:
         """Return the distance to a domain; an unknown region counts as the same."""
--- a/src/cardamomtiller/forwarding/placement/selection.py
+++ b/src/cardamomtiller/forwarding/placement/selection.py
@@ -16,6 +16,12 @@
 )
 from cardamomtiller.forwarding.observation.reachability import PathState, Reachability
 from cardamomtiller.forwarding.placement.locality import Distance, Locality
+from cardamomtiller.forwarding.placement.staleload import (
+    Candidate,
+    SpreadOptions,
+    choose_by_share,
+    uses_shares,
+)
 from cardamomtiller.forwarding.published.upstreams import Upstream, UpstreamState
 from cardamomtiller.ids import DomainName, UpstreamId
 
@@ -61,6 +67,9 @@
         Limits above which an upstream counts as silent.
     max_candidates
         Largest number of upstreams that are compared for one flow.
+    spread
+        Parameters of the shares by which an instance with a small part of the load
+        places flows; None to compare costs only.
     """
 
     idle_flow_weight: float
@@ -75,6 +84,7 @@
     silent_cost: float
     silence: SilenceOptions
     max_candidates: int
+    spread: SpreadOptions | None = None
 
 
 class Choice(NamedTuple):
@@ -161,21 +171,19 @@
     if not candidates:
         return None
     eligible = _eligible_upstreams(candidates, reachability, excluded)
-    lowest_ms = min_latency_ms(
-        (loads.get_or_create(upstream.token) for upstream in eligible), now_ms
-    )
     ranked = [
         Candidate(
             upstream,
             load,
-            base_cost(upstream, load, reachability, locality, options, now_ms)
-            + latency_cost(load, lowest_ms, options, now_ms),
+            base_cost(upstream, load, reachability, locality, options, now_ms),
         )
         for upstream, load in _with_loads(eligible, loads)
     ]
-    best = min(
-        ranked, key=lambda candidate: (candidate.cost, _tie_break(candidate, flow_hash))
-    )
+    spread = options.spread
+    if spread is not None and uses_shares(loads, spread):
+        best = choose_by_share(ranked, loads, spread, flow_hash, now_ms)
+    else:
+        best = _least_cost(ranked, options, flow_hash, now_ms)
     load = best.load
     load.last_placed_ms = now_ms
     return Choice(
@@ -188,14 +196,6 @@
     )
 
 
-class Candidate(NamedTuple):
-    """An upstream with its load estimate and the cost of placing a flow there."""
-
-    upstream: Upstream
-    load: UpstreamLoad
-    cost: float
-
-
 def base_cost(
     upstream: Upstream,
     load: UpstreamLoad,
@@ -250,6 +250,27 @@
     return options.latency_weight * min(max(ratio - 1, 0), MAX_LATENCY_RATIO)
 
 
+def _least_cost(
+    ranked: Sequence[Candidate],
+    options: PlacementOptions,
+    flow_hash: int,
+    now_ms: float,
+) -> Candidate:
+    """Return the candidate with the least cost, including that of its latency."""
+    lowest_ms = min_latency_ms((candidate.load for candidate in ranked), now_ms)
+    with_latency = (
+        candidate._replace(
+            cost=candidate.cost
+            + latency_cost(candidate.load, lowest_ms, options, now_ms)
+        )
+        for candidate in ranked
+    )
+    return min(
+        with_latency,
+        key=lambda candidate: (candidate.cost, _tie_break(candidate, flow_hash)),
+    )
+
+
 def _eligible_upstreams(
     candidates: list[Upstream],
     reachability: Reachability,
--- a/src/cardamomtiller/forwarding/process.py
+++ b/src/cardamomtiller/forwarding/process.py
@@ -82,7 +82,11 @@
         self._meters = Meters()
         self._log = DecisionLog(options.local_member.instance, options.log, time.time)
         self._forwarder = Forwarder(
-            Locality(options.local_member.domain, options.regions),
+            Locality(
+                options.local_member.domain,
+                options.regions,
+                options.local_member.instance,
+            ),
             packet_format,
             options.packet_address[1],
             options.forwarding,
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -23,11 +23,8 @@
 )
 from cardamomtiller.forwarding.placement.gates import GateSet
 from cardamomtiller.forwarding.placement.locality import Locality
-from cardamomtiller.forwarding.placement.selection import (
-    Choice,
-    choose_upstream,
-    sample_candidates,
-)
+from cardamomtiller.forwarding.placement.selection import Choice, choose_upstream
+from cardamomtiller.forwarding.placement.subset import CandidateSource
 from cardamomtiller.forwarding.published.configuration import (
     NO_CONFIGURATION,
     Configuration,
@@ -113,6 +110,7 @@
             options.missing_entry_grace_ms,
             options.departed_retention_ms,
         )
+        self._candidates = CandidateSource(locality, options.placement)
         self._gates = GateSet() if gates is None else gates
         start_window = StartWindow(options.admission.limit)
         self.observer = Observer(self.directory, options, self._reporter, start_window)
@@ -316,10 +314,13 @@
     ) -> Choice | None:
         flow_hash = hash_flow(packet.flow)
         excluded = self.observer.handle_repeated_open(packet, now_ms)
-        placement = self._options.placement
         pool = self.directory.pool(route.service_of(flow_hash))
-        candidates = sample_candidates(
-            pool, self._locality.domain, placement.max_candidates, flow_hash
+        candidates = self._candidates.select(
+            pool,
+            self.observer.loads,
+            self.observer.reachability,
+            flow_hash,
+            now_ms,
         )
         return choose_upstream(
             self._gates.admitted(candidates, now_ms)
@@ -327,7 +328,7 @@
             self.observer.loads,
             self.observer.reachability,
             self._locality,
-            placement,
+            self._options.placement,
             flow_hash,
             now_ms,
             excluded,
--- a/src/cardamomtiller/forwarding/routing/options.py
+++ b/src/cardamomtiller/forwarding/routing/options.py
@@ -20,6 +20,7 @@
     ReachabilityOptions,
 )
 from cardamomtiller.forwarding.placement.selection import PlacementOptions
+from cardamomtiller.forwarding.placement.staleload import SpreadOptions
 from cardamomtiller.forwarding.telemetry.decisionlog import LogOptions
 from cardamomtiller.forwarding.warmup.options import WarmupOptions
 
@@ -69,6 +70,18 @@
 DEFAULT_SILENCE = SilenceOptions(
     unanswered_opens=2, retransmitting_flows=3, retry_ms=1000
 )
+DEFAULT_SPREAD = SpreadOptions(
+    max_own_share=1 / 16,
+    tolerance=0.15,
+    prior_answers=5.0,
+    correction_gain=0.3,
+    min_correction_interval_ms=200,
+    max_correction=8.0,
+    max_credit=3.0,
+    subset_size=8,
+    rotating=1,
+    spill_cost=0.5,
+)
 DEFAULT_PLACEMENT = PlacementOptions(
     idle_flow_weight=0.05,
     others_busy_weight=0.1,
@@ -82,6 +95,7 @@
     silent_cost=8.0,
     silence=DEFAULT_SILENCE,
     max_candidates=32,
+    spread=DEFAULT_SPREAD,
 )
 DEFAULT_FLOWS = FlowOptions(
     capacity=100_000, idle_ms=15_000, max_request_ms=600, max_handshake_ms=150
--- a/tools/evenness_replay.py
+++ b/tools/evenness_replay.py
@@ -13,11 +13,7 @@
 import heapq
 import itertools
 import sys
-from abc import ABC, abstractmethod
-from collections import deque
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
-from math import exp
 from pathlib import Path
 from random import Random
 from statistics import fmean
@@ -25,70 +21,26 @@
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
 
-from cardamomtiller.forwarding.fleet.loadreport import ANSWER_SCALE, MAX_ANSWERS_FIELD
-from cardamomtiller.forwarding.fleet.loadsharing import DEFAULT_SHARING, MIN_REPORT_ROWS
-from cardamomtiller.forwarding.observation.load import MAX_REPORT_AGE_MS, LoadTable
-from cardamomtiller.forwarding.observation.reachability import (
-    DEFAULT_REACHABILITY,
-    Reachability,
+from cardamomtiller.forwarding.observation.load import MAX_REPORT_AGE_MS
+from tools.evenness_model import (
+    Instance,
+    Job,
+    LeastCost,
+    OneQueue,
+    Pattern,
+    Policy,
+    RandomChoice,
+    ReportModel,
+    Server,
+    Shares,
+    make_server,
 )
-from cardamomtiller.forwarding.placement.locality import Locality
-from cardamomtiller.forwarding.placement.selection import (
-    PlacementOptions,
-    choose_upstream,
-    sample_candidates,
-)
-from cardamomtiller.forwarding.published.upstreams import Upstream, token_of
-from cardamomtiller.forwarding.routing.observing import ANSWER_DECAY_MS
-from cardamomtiller.forwarding.routing.options import DEFAULT_PLACEMENT
-from cardamomtiller.ids import DomainName
-from tests import forwarding_rig as rig
 
 WINDOW_MS = 200.0
-TICK_MS = 100.0
 # From the end of a request until the instance sees the client's acknowledgement.
 OBSERVATION_DELAY_MS = 2.0
 # Time between two requests of a flow.
 PAUSE_MS = 20.0
-DOMAINS = tuple(DomainName(f'd{index}') for index in range(3))
-SPEEDS = (0.6, 1.0, 1.6)
-MAX_REPORTED_ANSWERS = MAX_ANSWERS_FIELD / ANSWER_SCALE
-
-
-class Pattern(NamedTuple):
-    """
-    A fleet, its upstreams and its load.
-
-    Attributes
-    ----------
-    load
-        Requests as a share of what all slots can serve.
-    report_interval_ms
-        Time between the load reports that an instance gets.
-    more_requests_share
-        Probability that another request of a flow follows a request.
-    burst
-        Factor of the load from ``change_ms`` on.
-    slowdown
-        Factor by which every second upstream is slower from ``change_ms`` on.
-    lost_domain
-        Index of the failure domain whose instances get no reports from ``change_ms``
-        on, because their aggregator is lost; None if there is none.
-    """
-
-    name: str
-    instances: int
-    report_interval_ms: float
-    load: float = 0.65
-    upstreams: int = 60
-    slots: int = 2
-    queue_length: int = 8
-    work_ms: float = 25.0
-    more_requests_share: float = 0.15
-    burst: float = 1.0
-    slowdown: float = 1.0
-    lost_domain: int | None = None
-    change_ms: float = 5000.0
 
 
 PATTERNS = (
@@ -130,164 +82,6 @@
     latency_ms: float
 
 
-@dataclass
-class Server:
-    """Model of an upstream."""
-
-    upstream: Upstream
-    speed: float
-    slots: int
-    capacity: int
-    busy: int = 0
-    queue: deque['Job'] = field(default_factory=deque)
-
-
-class Job(NamedTuple):
-    """A request, with its work at an upstream of speed 1."""
-
-    instance: 'Instance'
-    server: Server
-    arrived_ms: float
-    work_ms: float
-    is_last: bool
-
-
-class Policy(ABC):
-    """Way to place a flow, with the state that one instance has of it."""
-
-    def __init__(self, instance: 'Instance') -> None:
-        """Start without any placement."""
-        self.instance = instance
-
-    @abstractmethod
-    def choose(
-        self, pool: Sequence[Upstream], flow_hash: int, now_ms: float
-    ) -> Upstream:
-        """Return the upstream that gets a new flow."""
-
-
-class LeastCost(Policy):
-    """Placement as the forwarder does it."""
-
-    options: PlacementOptions = DEFAULT_PLACEMENT
-
-    def choose(
-        self, pool: Sequence[Upstream], flow_hash: int, now_ms: float
-    ) -> Upstream:
-        """Return the upstream that the forwarder would choose."""
-        instance = self.instance
-        candidates = sample_candidates(
-            pool, instance.locality.domain, self.options.max_candidates, flow_hash
-        )
-        choice = choose_upstream(
-            candidates,
-            instance.loads,
-            instance.reachability,
-            instance.locality,
-            self.options,
-            flow_hash,
-            now_ms,
-        )
-        assert choice is not None
-        return choice.upstream
-
-
-class RandomChoice(Policy):
-    """Any upstream of the pool, without regard to load and failure domain."""
-
-    def choose(
-        self, pool: Sequence[Upstream], flow_hash: int, now_ms: float
-    ) -> Upstream:
-        """Return an upstream by the hash of the flow."""
-        return pool[flow_hash % len(pool)]
-
-
-class Instance:
-    """An instance with what it observes and the last report that it has sent."""
-
-    def __init__(self, number: int, policy: type[Policy]) -> None:
-        """Start without any load."""
-        self.number = number
-        self.domain = number % len(DOMAINS)
-        self.locality = Locality(DOMAINS[self.domain], {})
-        self.loads = LoadTable()
-        self.reachability = Reachability(DEFAULT_REACHABILITY)
-        self.sent: dict[int, tuple[float, float]] = {}
-        self.decayed_ms = 0.0
-        self.policy = policy(self)
-
-
-class ReportModel:
-    """
-    Load reports as the aggregators pass them on.
-
-    An instance reports to the aggregator of its failure domain, and receives the sum
-    of all others. Sums of other failure domains are older by up to their interval.
-    """
-
-    def __init__(self, pattern: Pattern) -> None:
-        """Start without any report."""
-        self._members = -(-pattern.instances // len(DOMAINS))
-        self._domain_interval_ms = max(
-            DEFAULT_SHARING.domain_interval_ms, pattern.report_interval_ms
-        )
-        self._sums: list[dict[int, tuple[float, float]]] = [{} for _ in DOMAINS]
-        self._exchanged = [dict(sums) for sums in self._sums]
-        self._exchanged_ms = 0.0
-
-    def exchange(self, instance: Instance, now_ms: float) -> None:
-        """Pass on the report of an instance, and give it that of the others."""
-        loads = instance.loads
-        loads_by_token = dict(loads)
-        factor = exp((instance.decayed_ms - now_ms) / ANSWER_DECAY_MS)
-        instance.decayed_ms = now_ms
-        for load in loads_by_token.values():
-            load.decay_answers(factor)
-            load.update_mean_busy(now_ms, DEFAULT_SHARING.horizon_ms)
-        max_rows = max(
-            MIN_REPORT_ROWS, DEFAULT_SHARING.rows_per_domain // self._members
-        )
-        rows = sorted(
-            (
-                (token, (load.mean_busy, load.answers))
-                for token, load in loads_by_token.items()
-            ),
-            key=lambda row: -row[1][0],
-        )[:max_rows]
-        sums = self._sums[instance.domain]
-        _add(sums, instance.sent, -1)
-        instance.sent = dict(rows)
-        if now_ms - self._exchanged_ms >= self._domain_interval_ms:
-            self._exchanged = [dict(sums) for sums in self._sums]
-            self._exchanged_ms = now_ms
-        others = dict(sums)
-        _add(sums, instance.sent, 1)
-        for index, remote in enumerate(self._exchanged):
-            if index != instance.domain:
-                _add(others, remote, 1)
-        kept = sorted(others, key=lambda token: -others[token][0])[:max_rows]
-        for token, load in loads_by_token.items():
-            busy, answers = others[token] if token in kept else (0, 0)
-            load.others_busy = max(0, busy)
-            load.others_answers = min(MAX_REPORTED_ANSWERS, max(0, answers))
-        loads.others_reported_ms = now_ms
-
-    def forget(self, instance: Instance) -> None:
-        """Remove what an instance has received, as if its reports were too old."""
-        for _, load in instance.loads:
-            load.others_busy = load.others_answers = 0
-
-
-def _add(
-    sums: dict[int, tuple[float, float]],
-    rows: Mapping[int, tuple[float, float]],
-    sign: int,
-) -> None:
-    for token, (busy, answers) in rows.items():
-        busy_sum, answers_sum = sums.get(token, (0.0, 0.0))
-        sums[token] = (busy_sum + sign * busy, answers_sum + sign * answers)
-
-
 class Replay:
     """Simulation of a pattern with one way to place flows."""
 
@@ -299,7 +93,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
         self._servers = [
-            _make_server(pattern, index) for index in range(pattern.upstreams)
+            make_server(pattern, index) for index in range(pattern.upstreams)
         ]
         self._by_token = {server.upstream.token: server for server in self._servers}
         self._pool = tuple(server.upstream for server in self._servers)
@@ -437,48 +231,6 @@
         )
 
 
-class OneQueue:
-    """All slots of all upstreams, served by one queue; faster slots first."""
-
-    def __init__(self, servers: Sequence[Server]) -> None:
-        """Start with free slots."""
-        self._free = [
-            (-server.speed, index, server)
-            for server in servers
-            for index in range(server.slots)
-        ]
-        self._free = [
-            (speed, number, server)
-            for number, (speed, _, server) in enumerate(self._free)
-        ]
-        heapq.heapify(self._free)
-        self._busy: list[tuple[float, int, Server]] = []
-        self.waits_ms: list[float] = []
-
-    def serve(self, job: Job) -> None:
-        """Serve a request that arrives now; requests arrive in order of time."""
-        while self._busy and self._busy[0][0] <= job.arrived_ms:
-            _, number, server = heapq.heappop(self._busy)
-            heapq.heappush(self._free, (-server.speed, number, server))
-        start_ms = job.arrived_ms
-        if self._free:
-            _, number, server = heapq.heappop(self._free)
-        else:
-            start_ms, number, server = heapq.heappop(self._busy)
-        self.waits_ms.append(start_ms - job.arrived_ms)
-        end_ms = start_ms + job.work_ms / server.speed
-        heapq.heappush(self._busy, (end_ms, number, server))
-
-
-def _make_server(pattern: Pattern, index: int) -> Server:
-    name = f'u-{index}'
-    entry = rig.entry(name, domain=DOMAINS[index % len(DOMAINS)], slots=pattern.slots)
-    upstream = Upstream(entry, token_of(entry.upstream), 0)
-    speed = SPEEDS[index // len(DOMAINS) % len(SPEEDS)]
-    capacity = pattern.slots + pattern.queue_length
-    return Server(upstream, speed, pattern.slots, capacity)
-
-
 def _ratio(
     rows: Sequence[tuple[float, int, float]], servers: Sequence[Server]
 ) -> float:
@@ -492,6 +244,7 @@
 POLICIES: dict[str, type[Policy]] = {
     'random': RandomChoice,
     'least cost': LeastCost,
+    'shares': Shares,
 }
 
 
@@ -511,10 +264,18 @@
     parser.add_argument('--seconds', type=float, default=9)
     parser.add_argument('--pattern', default='', help='part of the names to run')
     parser.add_argument('--policy', default='', help='part of the names to run')
+    parser.add_argument(
+        '--weighed', action='store_true', help='run the ways that are not in use too'
+    )
     options = parser.parse_args()
     patterns = [pattern for pattern in PATTERNS if options.pattern in pattern.name]
+    known = dict(POLICIES)
+    if options.weighed:
+        from tools.evenness_policies import WEIGHED
+
+        known.update(WEIGHED)
     policies = {
-        name: policy for name, policy in POLICIES.items() if options.policy in name
+        name: policy for name, policy in known.items() if options.policy in name
     }
     heading = ('run', 'window', 'full', 'wait ms', 'one queue', 'latency ms')
     print(f'{"":28}{"":22}' + ''.join(f'{title:>11}' for title in heading))
