--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -28,11 +28,8 @@
 )
 from cardamomtiller.forwarding.placement.gates import GateSet, PlacementGate
 from cardamomtiller.forwarding.placement.locality import Locality
-from cardamomtiller.forwarding.placement.selection import (
-    Choice,
-    choose_upstream,
-    sample_candidates,
-)
+from cardamomtiller.forwarding.placement.selection import Choice, choose_upstream
+from cardamomtiller.forwarding.placement.subset import CandidateSource
 from cardamomtiller.forwarding.published.configuration import (
     NO_CONFIGURATION,
     Configuration,
@@ -123,6 +120,7 @@
             options.missing_entry_grace_ms,
             options.departed_retention_ms,
         )
+        self._candidates = CandidateSource(locality, options.placement)
         start_window = StartWindow(options.admission.limit)
         shortage = options.admission.shortage
         capacity = CapacityTable(shortage.capacity) if shortage else None
@@ -402,10 +400,13 @@
     ) -> Choice | None:
         flow_hash = hash_flow(packet.flow)
         excluded = self.observer.handle_repeated_open(packet, now_ms)
-        placement = self._options.placement
         pool = self.directory.pool(route.service_of(flow_hash))
-        candidates = sample_candidates(
-            pool, self._locality.domain, placement.max_candidates, flow_hash
+        candidates = self._candidates.select(
+            pool,
+            self.observer.loads,
+            self.observer.reachability,
+            flow_hash,
+            now_ms,
         )
         return choose_upstream(
             self._gates.admitted(candidates, now_ms)
@@ -413,7 +414,7 @@
             self.observer.loads,
             self.observer.reachability,
             self._locality,
-            placement,
+            self._options.placement,
             flow_hash,
             now_ms,
             excluded,
