Average the own share of the load before flows are placed by shares

Cause: the share of the requests in progress that an instance carries was taken from one update.

Change: the share is the mean of the last 30 updates. Admission has the order under shortage only if options ask for it.

Ruled out: a threshold of 1/32 (the evenness feature fails with half of the upstreams 4 times slower), a mean over 40 updates (it fails without an aggregator).

--- a/src/cardamomtiller/forwarding/observation/load.py
+++ b/src/cardamomtiller/forwarding/observation/load.py
@@ -22,6 +22,10 @@
 # An older mean latency is ignored, so that an upstream that was slow once and got no
 # flows since is tried again.
 MAX_LATENCY_AGE_MS = 3000.0
+# Reports over which the share of this instance in all requests is averaged. An instance
+# has few requests in progress, so single values say little, and just after its start
+# the share is low.
+OWN_SHARE_SAMPLES = 30
 # The load of the other instances counts as unknown when their reports are older.
 MAX_REPORT_AGE_MS = 1500.0
 
@@ -237,6 +241,8 @@
         self.others_reported_ms: float | None = None
         # Part of all requests in progress that are of this instance, by the last report.
         self.own_share: float = 1
+        self._mean_own_share: float = 0
+        self._own_share_samples = 0
 
     def __iter__(self) -> Iterator[tuple[Token, UpstreamLoad]]:
         """Iterate over a snapshot of all tokens and estimates."""
@@ -274,8 +280,14 @@
         """Compare the load of this instance with a report of the others."""
         own_busy = sum(load.mean_busy for load in self._loads.values())
         others_busy = sum(load.others_busy for load in self._loads.values())
-        if others_busy > 0:
-            self.own_share = own_busy / (own_busy + others_busy)
+        if others_busy <= 0:
+            return
+        sample = own_busy / (own_busy + others_busy)
+        self._own_share_samples = min(OWN_SHARE_SAMPLES, self._own_share_samples + 1)
+        difference = sample - self._mean_own_share
+        self._mean_own_share += difference / self._own_share_samples
+        if self._own_share_samples == OWN_SHARE_SAMPLES:
+            self.own_share = self._mean_own_share
 
     def add_flow(self, flow: Flow) -> None:
         """Count a flow as open at its upstream."""
--- a/src/cardamomtiller/forwarding/routing/options.py
+++ b/src/cardamomtiller/forwarding/routing/options.py
@@ -4,7 +4,6 @@
 
 from cardamomtiller.forwarding.admission.control import AdmissionOptions
 from cardamomtiller.forwarding.admission.limit import LimitOptions
-from cardamomtiller.forwarding.admission.shortage import DEFAULT_SHORTAGE
 from cardamomtiller.forwarding.admission.waitqueue import WaitOptions
 from cardamomtiller.forwarding.link.options import LinkOptions
 from cardamomtiller.forwarding.observation.flows import FlowOptions
@@ -117,7 +116,6 @@
         copy_delay_ms=100,
         late_turn_interval=16,
     ),
-    shortage=DEFAULT_SHORTAGE,
 )
 DEFAULT_FORWARDING = ForwardingOptions(
     admission=DEFAULT_ADMISSION,
--- a/tests/features/steps/forwarding_overload_steps.py
+++ b/tests/features/steps/forwarding_overload_steps.py
@@ -5,10 +5,10 @@
 from behave import then
 
 from cardamomtiller.forwarding.admission.claims import Claims
+from cardamomtiller.forwarding.admission.shortage import DEFAULT_SHORTAGE
 from cardamomtiller.forwarding.published.configuration import ServiceLimits
 from cardamomtiller.forwarding.routing.options import (
     DEFAULT_ADMISSION,
-    DEFAULT_FORWARDING,
 )
 from tests import forwarding_rig as rig
 from tools import overload_replay as replays
@@ -21,7 +21,7 @@
 MIN_VALUE = 0.9
 # Differences below this share of the requests are due to the order of random draws.
 TOLERANCE = 0.005
-CAPACITY = DEFAULT_ADMISSION.shortage.capacity
+CAPACITY = DEFAULT_SHORTAGE.capacity
 SLOTS = 2
 ANSWER_BYTES = 400
 FULL_BYTES = 20
@@ -48,7 +48,7 @@
 
 def classed_forwarder(names=('u-1',), max_connections=0):
     """Return a forwarder whose configuration has two classes."""
-    forwarder = rig.make_forwarder(names, options=DEFAULT_FORWARDING)
+    forwarder = rig.make_forwarder(names, options=rig.FORWARDING_WITH_SHORTAGE)
     configuration = rig.configuration(version=2, ports=(443, 444))
     routes = {
         address: route._replace(priority=priority)
@@ -208,7 +208,7 @@
             break
         placed += 1
     limit = 3 * SLOTS * CAPACITY.requests_per_slot
-    reserve = limit * DEFAULT_ADMISSION.shortage.reserve_share
+    reserve = limit * DEFAULT_SHORTAGE.reserve_share
     assert limit - reserve <= placed < limit
     assert len(rig.handle(forwarder, rig.opening(2000), 0)) == 1
 
@@ -253,7 +253,7 @@
 
 @then('of two clients the one with fewer recent releases goes first')
 def step_claims(context):
-    claims = Claims(DEFAULT_ADMISSION.shortage.claims)
+    claims = Claims(DEFAULT_SHORTAGE.claims)
     first, same_domain, other_domain = (
         rig.pack_address(replays.client_address(domain, number), 1000)
         for domain, number in ((0, 1), (0, 2), (1, 1))
--- a/tests/forwarding_rig.py
+++ b/tests/forwarding_rig.py
@@ -9,6 +9,7 @@
 
 from packets import CLOSING, HEADER, OPENING, RESET, HeaderFormat  # noqa: E402
 
+from cardamomtiller.forwarding.admission.shortage import DEFAULT_SHORTAGE  # noqa: E402
 from cardamomtiller.forwarding.packet import (  # noqa: E402
     RouteAddress,
     Token,
@@ -50,10 +51,12 @@
 UNLIMITED = DEFAULT_ADMISSION._replace(
     limit=DEFAULT_ADMISSION.limit._replace(
         requests_per_slot=1_000_000, initial_window=1_000_000
-    ),
-    shortage=None,
+    )
 )
 FORWARDING_WITHOUT_LIMIT = DEFAULT_FORWARDING._replace(admission=UNLIMITED)
+FORWARDING_WITH_SHORTAGE = DEFAULT_FORWARDING._replace(
+    admission=DEFAULT_ADMISSION._replace(shortage=DEFAULT_SHORTAGE)
+)
 
 
 def packet(
--- a/tools/overload_replay.py
+++ b/tools/overload_replay.py
@@ -676,11 +676,9 @@
 }
 
 SHORTAGE_POLICIES: dict[str, tuple[ForwardingOptions, type[Forwarder]]] = {
-    'new': (DEFAULT_FORWARDING, Forwarder),
+    'new': (rig.FORWARDING_WITH_SHORTAGE, Forwarder),
     'before': (
-        DEFAULT_FORWARDING._replace(
-            admission=DEFAULT_FORWARDING.admission._replace(shortage=None)
-        ),
+        DEFAULT_FORWARDING,
         Forwarder,
     ),
     'round robin': (POLICIES['no limit'], RoundRobin),
--- a/tools/packet_traffic.py
+++ b/tools/packet_traffic.py
@@ -172,6 +172,8 @@
         """Stop an upstream from answering packets and connections, permanently."""
         self.upstreams[name].is_failed = True
         self._selector.unregister(self._listeners[name])
+        # Closing alone takes effect only when a call of the thread on it has returned.
+        self._listeners[name].shutdown(socket.SHUT_RDWR)
         self._listeners[name].close()
 
     def close(self) -> None:
