Mend what a newcomer stumbled on, and pace a link that has grown

Cause: a reader of the diff found statements that later changes had made wrong, constants that were explained by measured figures, and names for the wrong thing. One defect: a link stated between 50 and 100 Mbit/s could grow beyond the rate from which nothing is paced, and then lost packets never lowered its rate again.

Change: whether a link is paced depends on its stated rate. The part of an ended slow-start period is forgotten after its report, not before.

--- a/src/cardamomtiller/forwarding/admission/shortage.py
+++ b/src/cardamomtiller/forwarding/admission/shortage.py
@@ -83,8 +83,7 @@
     return demands
 
 
-# Not part of the default options of admission: with long flows, or few instances, more
-# requests were late than without it (docs/design/overload.md).
+# Options for deployments that enable it; off by default (docs/design/overload.md).
 DEFAULT_SHORTAGE = ShortageOptions(
     capacity=DEFAULT_CAPACITY,
     # Clients abandon an unanswered opening packet after 1400 ms.
--- a/src/cardamomtiller/forwarding/admission/waitqueue.py
+++ b/src/cardamomtiller/forwarding/admission/waitqueue.py
@@ -81,7 +81,7 @@
     """Waiting opening packets of one service."""
 
     def __init__(self, options: WaitOptions, claims: Claims | None = None) -> None:
-        """Create an empty queue; claims are None if all clients are one to it."""
+        """Create an empty queue; without claims, clients are not told apart."""
         self._options = options
         self.claims = claims
         self._waiting: OrderedDict[FlowKey, WaitingOpening] = OrderedDict()
@@ -124,7 +124,7 @@
         return self.pop_older(self._options.max_age_ms, now_ms)
 
     def pop_older(self, age_ms: float, now_ms: float) -> Iterator[WaitingOpening]:
-        """Remove and iterate over the packets of flows that have an age."""
+        """Remove and iterate over the packets of flows that are at least this old."""
         for flow, opening in tuple(self._waiting.items()):
             if now_ms - opening.opened_ms >= age_ms:
                 del self._waiting[flow]
@@ -161,11 +161,11 @@
         return self._waiting.pop(selected.packet.flow)
 
     def put_back(self, opening: WaitingOpening) -> None:
-        """Let a packet wait on that may not leave yet."""
+        """Put a packet back that may not leave yet, behind all others."""
         self._waiting[opening.packet.flow] = opening
 
     def pop_all(self) -> Iterator[WaitingOpening]:
-        """Remove and iterate over all packets, in the order of their arrival."""
+        """Remove and iterate over all packets."""
         while self._waiting:
             yield self._waiting.popitem(last=False)[1]
 
--- a/src/cardamomtiller/forwarding/link/control.py
+++ b/src/cardamomtiller/forwarding/link/control.py
@@ -3,8 +3,8 @@
 from cardamomtiller.forwarding.link.rate import LinkRate
 from cardamomtiller.ids import MS_PER_S
 
-# Time over which unused bytes of the reserve add up, and over which the use is averaged.
-HORIZON_MS = 1000.0
+# Time over which unused bytes add up, and time constant of the average.
+AVERAGING_MS = 1000.0
 
 
 class ControlReserve:
@@ -14,11 +14,11 @@
     Attributes
     ----------
     bytes_per_s
-        Mean use in the last second.
+        Moving average of the use.
     """
 
     def __init__(self, rate: LinkRate, share: float) -> None:
-        """Start with an unused reserve."""
+        """Start with an empty reserve."""
         self._rate = rate
         self._share = share
         self._total_bytes = 0
@@ -43,9 +43,11 @@
         elapsed_ms = max(0, now_ms - self._updated_ms)
         self._updated_ms = now_ms
         reserve = self._rate.bytes_per_ms * self._share
-        available = min(reserve * HORIZON_MS, self._unused_bytes + reserve * elapsed_ms)
+        available = min(
+            reserve * AVERAGING_MS, self._unused_bytes + reserve * elapsed_ms
+        )
         self._unused_bytes = max(0, available - used)
-        gain = min(1, elapsed_ms / HORIZON_MS)
+        gain = min(1, elapsed_ms / AVERAGING_MS)
         if elapsed_ms:
             used_per_s = used / elapsed_ms * MS_PER_S
             self.bytes_per_s += gain * (used_per_s - self.bytes_per_s)
--- a/src/cardamomtiller/forwarding/link/copies.py
+++ b/src/cardamomtiller/forwarding/link/copies.py
@@ -25,7 +25,7 @@
 
 
 class _Progress:
-    """Latest payload of a flow, and the copies since the one before."""
+    """Latest payload of a flow, and the copies that have arrived since."""
 
     __slots__ = ('copies', 'highest', 'updated_ms')
 
--- a/src/cardamomtiller/forwarding/link/credit.py
+++ b/src/cardamomtiller/forwarding/link/credit.py
@@ -14,8 +14,8 @@
     control_share
         Share of the link that stays free for messages between instances.
     min_burst_bytes, max_burst_bytes
-        Bounds on the bytes that may be sent at once after a pause. The send buffer of a
-        link of 2.4 Mbit/s overflowed at 16 kB.
+        Bounds on the bytes that may be sent at once after a pause, since a slow link
+        buffers little.
     credit_ms
         Link time that may be caught up when the timer fires late, within these bounds.
     max_short_share, max_short_ms
--- a/src/cardamomtiller/forwarding/link/egress.py
+++ b/src/cardamomtiller/forwarding/link/egress.py
@@ -1,9 +1,8 @@
 """Queue of the datagrams that wait for the link of the instance.
 
-The packets of a window arrive within 2 ms and in random order. Forwarded at once, they
-overflow the send buffer of a slow link: the tail of each window is lost and sent again
-after 200 ms, when it is lost in the same way. The queue therefore sends at the rate of
-the link, and by sequence number within a flow.
+Clients send a window at once, and its packets may arrive reordered. Forwarded at once,
+they overflow the send buffer of a slow link, and retransmissions do so again. The queue
+therefore sends at the rate of the link, and by sequence number within a flow.
 """
 
 from collections import deque
--- a/src/cardamomtiller/forwarding/link/evidence.py
+++ b/src/cardamomtiller/forwarding/link/evidence.py
@@ -43,9 +43,9 @@
         if excess_ms >= 0:
             self._busy_until_ms = max(self._busy_until_ms, now_ms + excess_ms)
 
-    def record_loss(self, now_ms: float) -> None:
-        """Record that the rate was lowered because the link loses packets."""
-        busy_until_ms = now_ms + self._options.loss_ms
+    def record_loss(self, lowered_ms: float) -> None:
+        """Record when the rate was last lowered because the link lost packets."""
+        busy_until_ms = lowered_ms + self._options.loss_ms
         self._busy_until_ms = max(self._busy_until_ms, busy_until_ms)
 
     def is_busy(self, now_ms: float) -> bool:
--- a/src/cardamomtiller/forwarding/link/rate.py
+++ b/src/cardamomtiller/forwarding/link/rate.py
@@ -2,7 +2,7 @@
 
 The settings state the rate, but the link may be slower or faster, or others may use it
 too. Copies of packets that were sent show that packets are lost; the rate is lowered
-then, and raised again in busy periods without loss.
+when many are lost, and raised again in busy periods with fewer losses.
 """
 
 from math import inf
@@ -20,15 +20,14 @@
     min_share, max_share
         Bounds of the rate, as multiples of the stated rate.
     unpaced_bytes_per_ms
-        Rate from which packets are not paced, because processing a packet takes as long
-        as its transmission: 1,250 bytes in 0.1 ms.
+        Stated rate from which packets are not paced, since processing a packet takes as
+        long as its transmission.
     sample_packets
         Packets over which losses are counted: four windows of a client.
     loss_share
-        Share of copies from which the rate is lowered. Copies were 2% of the packets at
-        the right rate and 60% on a link that overflowed. A path that loses 5% causes
-        27% of copies in the model, because a client repeats the rest of its window; a
-        lower rate does not help there and made transfers 2.5 times longer.
+        Share of copies from which the rate is lowered. Clients repeat the rest of a
+        window after a loss, so moderate loss on the path causes many copies; the limit
+        is above these, since a lower rate does not help there (docs/design/link.md).
     excess_loss_share
         The same above the stated rate, where a return to it does no harm.
     growth_loss_share
@@ -36,11 +35,12 @@
     decrease
         Factor of the rate on loss.
     recovery_per_s
-        Growth below the stated rate in a busy second without loss, as a share of the
-        stated rate.
+        Growth below the stated rate in a busy second whose share of copies is below
+        ``loss_share``, as a share of the stated rate.
     growth_per_s
-        The same above the stated rate; slower, because every attempt beyond the capacity
-        of the link loses packets.
+        Growth above the stated rate in a busy second whose share of copies is at most
+        ``growth_loss_share``; slower, since every attempt beyond the capacity of the
+        link loses packets.
     growth_pause_ms
         Time after a loss above the stated rate until the next attempt to exceed it.
     """
@@ -83,8 +83,8 @@
 
     @property
     def is_unpaced(self) -> bool:
-        """Whether the link is so fast that packets need not be paced."""
-        return self.bytes_per_ms >= self._options.unpaced_bytes_per_ms
+        """Whether the link is stated to be so fast that packets need not be paced."""
+        return self._stated_bytes_per_ms >= self._options.unpaced_bytes_per_ms
 
     def record_losses(self, packets: int) -> None:
         """Count packets that were sent, and lost before they reached the upstream."""
@@ -99,15 +99,15 @@
         self._sent += 1
         if self._sent < self._options.sample_packets:
             return
-        losses_share = self._losses / self._sent
+        loss_share = self._losses / self._sent
         is_excess = self.bytes_per_ms > self._stated_bytes_per_ms
         limit = self._options.loss_share
         if is_excess:
             limit = self._options.excess_loss_share
-        if losses_share >= limit:
+        if loss_share >= limit:
             self._lower(now_ms)
         else:
-            self._raise(losses_share, now_ms)
+            self._raise(loss_share, now_ms)
         self._busy_ms = 0
         self._sent = 0
         self._losses = 0
@@ -122,14 +122,14 @@
         lowest = stated * self._options.min_share
         self.bytes_per_ms = max(lowest, self.bytes_per_ms * self._options.decrease)
 
-    def _raise(self, losses_share: float, now_ms: float) -> None:
+    def _raise(self, loss_share: float, now_ms: float) -> None:
         stated = self._stated_bytes_per_ms
         busy_s = self._busy_ms / MS_PER_S
         if self.bytes_per_ms < stated:
             step = stated * self._options.recovery_per_s * busy_s
             self.bytes_per_ms = min(stated, self.bytes_per_ms + step)
             return
-        is_clean = losses_share <= self._options.growth_loss_share
+        is_clean = loss_share <= self._options.growth_loss_share
         if is_clean and now_ms >= self._no_growth_until_ms:
             step = stated * self._options.growth_per_s * busy_s
             highest = stated * self._options.max_share
--- a/src/cardamomtiller/forwarding/link/transfers.py
+++ b/src/cardamomtiller/forwarding/link/transfers.py
@@ -39,9 +39,8 @@
     bulk_share
         Share of the link that estimates allow for bulk routes; the others keep the rest.
     min_wait_ms, max_wait_ms
-        Bounds on the time for which an opening may wait. Within them it is what the
-        objective of the route leaves. In the model of 22 links, 400 ms gave more
-        transfers in time than 900 ms, and fewer that were refused three times than 200 ms.
+        Bounds on the estimated wait of an opening. Within them, it may wait as long as
+        the objective of the route leaves.
     active_ms
         Time without a packet after which a transfer of the expected size has ended.
     idle_ms
--- a/src/cardamomtiller/forwarding/link/turns.py
+++ b/src/cardamomtiller/forwarding/link/turns.py
@@ -84,7 +84,7 @@
         if waiting is None:
             insort(self._offsets, offset)
         else:
-            # A copy may have been cut anew and have more payload than its original.
+            # A copy may be divided differently and have more payload than its original.
             growth = max(0, growth - len(waiting.datagram))
         if growth:
             self._items[offset] = item
--- a/src/cardamomtiller/forwarding/observation/capacity.py
+++ b/src/cardamomtiller/forwarding/observation/capacity.py
@@ -151,7 +151,7 @@
         return (load.answers + load.others_answers) / counted_ms * target_ms
 
     def expire(self, now_ms: float) -> None:
-        """Forget the full answers whose effect has certainly ended."""
+        """Forget the full answers whose effect has ended; the first call starts the count."""
         if self._started_ms is None:
             self._started_ms = now_ms
         longest_ms = self._options.recovery_ms * self._options.requests_per_slot
--- a/src/cardamomtiller/forwarding/observation/load.py
+++ b/src/cardamomtiller/forwarding/observation/load.py
@@ -239,7 +239,8 @@
         self._flows_in_progress: dict[FlowKey, Flow] = {}
         # Time of the last update with a report of another instance.
         self.others_reported_ms: float | None = None
-        # Part of all requests in progress that are of this instance, by the last report.
+        # Share of this instance in all requests in progress, averaged over
+        # OWN_SHARE_SAMPLES updates; 1 until there have been that many.
         self.own_share: float = 1
         self._mean_own_share: float = 0
         self._own_share_samples = 0
@@ -277,7 +278,7 @@
             del self._loads[token]
 
     def update_own_share(self) -> None:
-        """Compare the load of this instance with a report of the others."""
+        """Update the share of this instance with the loads that are known now."""
         own_busy = sum(load.mean_busy for load in self._loads.values())
         others_busy = sum(load.others_busy for load in self._loads.values())
         if others_busy <= 0:
--- a/src/cardamomtiller/forwarding/placement/gates.py
+++ b/src/cardamomtiller/forwarding/placement/gates.py
@@ -16,7 +16,7 @@
 
 class PlacementGate(ABC):
     """
-    A limit of single upstreams.
+    A limit on the flows of each upstream.
 
     Attributes
     ----------
@@ -81,14 +81,14 @@
         """
         candidates = list(pool)
         gates = [gate for gate in self._gates if gate.is_active(now_ms)]
-        open_ones = _admitted_by(gates, candidates, now_ms)
-        if open_ones or not is_overdue:
-            return open_ones
+        admitted = _admitted_by(gates, candidates, now_ms)
+        if admitted or not is_overdue:
+            return admitted
         mandatory_gates = [gate for gate in gates if gate.is_mandatory]
         return _admitted_by(mandatory_gates, candidates, now_ms)
 
     def can_place(self, pool: Iterable[Upstream], now_ms: float) -> bool:
-        """Return whether every gate admits some upstream; true for an empty pool."""
+        """Return whether some upstream is admitted by every gate; true for an empty pool."""
         candidates = tuple(pool)
         if not candidates or not self.is_active(now_ms):
             return True
@@ -121,16 +121,7 @@
         if not gates:
             return 0
         times_ms = merge(
-            *(
-                map(
-                    max,
-                    zip(
-                        *(gate.free_times_ms(upstream, now_ms) for gate in gates),
-                        strict=False,
-                    ),
-                )
-                for upstream in pool
-            )
+            *(_free_times_ms(gates, upstream, now_ms) for upstream in pool)
         )
         return next(islice(times_ms, ahead, None), inf) - now_ms
 
@@ -147,3 +138,11 @@
     for gate in gates:
         pool = [upstream for upstream in pool if gate.admits(upstream, now_ms)]
     return pool
+
+
+def _free_times_ms(
+    gates: Iterable[PlacementGate], upstream: Upstream, now_ms: float
+) -> Iterator[float]:
+    """Iterate over the times at which all gates let further flows be placed."""
+    times_ms = [gate.free_times_ms(upstream, now_ms) for gate in gates]
+    return map(max, zip(*times_ms, strict=False))
--- a/src/cardamomtiller/forwarding/placement/staleload.py
+++ b/src/cardamomtiller/forwarding/placement/staleload.py
@@ -22,7 +22,8 @@
 from cardamomtiller.forwarding.observation.load import LoadTable, UpstreamLoad
 from cardamomtiller.forwarding.published.upstreams import Upstream
 
-# Latencies of this many answers count; the gain of their moving average allows no more.
+# A moving average with gain g is as accurate as a mean of (2 - g) / g samples: 19 for
+# the gain of the mean latency.
 MAX_LATENCY_ANSWERS = 19.0
 # Loads per slot below this are not told apart: a report has units of 1/64 request.
 MIN_BUSY_PER_SLOT = 0.02
@@ -94,7 +95,7 @@
 
 
 def choose_by_share(
-    ranked: Sequence[Candidate],
+    candidates: Sequence[Candidate],
     loads: LoadTable,
     options: SpreadOptions,
     flow_hash: int,
@@ -105,22 +106,23 @@
 
     Parameters
     ----------
-    ranked
-        All candidates; those that cost more than the cheapest one get nothing.
+    candidates
+        All candidates. Those that cost over `SpreadOptions.tolerance` more than the
+        cheapest one get no flow.
     loads
         Load table that the load estimates are from.
     options
         Parameters of the shares.
     flow_hash
-        Hash of the flow; sets where an instance begins.
+        Hash of the flow; seeds the initial credit of each candidate.
     now_ms
         Current time.
     """
-    limit = min(candidate.cost for candidate in ranked) + options.tolerance
-    shortlist = [candidate for candidate in ranked if candidate.cost <= limit]
+    limit = min(candidate.cost for candidate in candidates) + options.tolerance
+    shortlist = [candidate for candidate in candidates if candidate.cost <= limit]
     # Those that cost too much now are corrected too: they are the overloaded ones.
-    _correct(ranked, loads.others_reported_ms, options, now_ms)
-    usual_ms = _usual_latency_ms(ranked)
+    _correct(candidates, loads.others_reported_ms, options, now_ms)
+    usual_ms = _usual_latency_ms(candidates)
     weights = [_weight(candidate, usual_ms, options) for candidate in shortlist]
     total = fsum(weights)
     for candidate, weight in zip(shortlist, weights, strict=True):
@@ -128,7 +130,7 @@
         if load.credit is None:
             load.credit = mix(flow_hash ^ candidate.upstream.token) / HASH_VALUES
         load.credit = min(options.max_credit, load.credit + weight / total)
-    best = max(shortlist, key=lambda candidate: candidate.load.credit or 0)
+    best = max(shortlist, key=lambda choice: choice.load.credit or 0)
     best.load.credit = (best.load.credit or 0) - 1
     return best
 
--- a/src/cardamomtiller/forwarding/routing/forwarder.py
+++ b/src/cardamomtiller/forwarding/routing/forwarder.py
@@ -130,12 +130,12 @@
         self._slow_start = SlowStartGate(
             options.warmup, locality, self.observer.reachability
         )
-        own_gates: list[PlacementGate] = [self._slow_start]
+        default_gates: list[PlacementGate] = [self._slow_start]
         self._capacity_gate: CapacityGate | None = None
         if capacity is not None:
             self._capacity_gate = CapacityGate(self.observer.loads, capacity)
-            own_gates.append(self._capacity_gate)
-        self._gates = GateSet(own_gates) if gates is None else gates
+            default_gates.append(self._capacity_gate)
+        self._gates = GateSet(default_gates) if gates is None else gates
         self.admission = Admission(
             self.directory,
             self.observer.loads,
@@ -265,9 +265,9 @@
 
     def release_waiting(self, now_ms: float) -> Iterator[Delivery]:
         """Place the flows whose opening packets have waited long enough."""
-        for transfer in self.transfer_openings.release(now_ms):
-            self._reporter.transfer_released(transfer, now_ms)
-            yield from self._admit_waiting(transfer, now_ms)
+        for opening in self.transfer_openings.release(now_ms):
+            self._reporter.transfer_released(opening, now_ms)
+            yield from self._admit_waiting(opening, now_ms)
         for release in self.admission.release(now_ms):
             self._reporter.opening_released(release, now_ms)
             is_overdue = release.reason is ReleaseReason.AGE
@@ -277,8 +277,8 @@
 
     def release_all_waiting(self, now_ms: float) -> Iterator[Delivery]:
         """Place all flows whose opening packets wait, before the process stops."""
-        for transfer in self.transfer_openings.release_all():
-            yield from self._place_waiting(transfer, now_ms, is_overdue=True)
+        for opening in self.transfer_openings.release_all():
+            yield from self._place_waiting(opening, now_ms, is_overdue=True)
         for opening in self.admission.release_all():
             yield from self._place_waiting(opening, now_ms, is_overdue=True)
 
@@ -316,12 +316,12 @@
         if packet.copy_number and self.observer.has_flow(packet.flow):
             yield from self._place_flow(packet, datagram, route, now_ms)
             return
-        transfer = self.transfer_openings.decide(packet, datagram, route, now_ms)
-        if transfer.verdict is TransferVerdict.FORWARD:
+        decision = self.transfer_openings.decide(packet, datagram, route, now_ms)
+        if decision.verdict is TransferVerdict.FORWARD:
             yield from self._admit(packet, datagram, route, now_ms)
             return
-        self._reporter.transfer_postponed(packet, route, transfer, now_ms)
-        if transfer.verdict is TransferVerdict.REJECT and not packet.copy_number:
+        self._reporter.transfer_postponed(packet, route, decision, now_ms)
+        if decision.verdict is TransferVerdict.REJECT and not packet.copy_number:
             yield self._reset_delivery(packet.flow, packet.acknowledged)
 
     def _admit_waiting(
--- a/src/cardamomtiller/forwarding/routing/observing.py
+++ b/src/cardamomtiller/forwarding/routing/observing.py
@@ -240,7 +240,7 @@
             self.loads.remove_flow(idle, now_ms)
         self.loads.finish_overdue_requests(self._options.flows, now_ms)
         self._update_outcomes(now_ms)
-        if self.capacity:
+        if self.capacity is not None:
             self.capacity.expire(now_ms)
         self.loads.retain({upstream.token for upstream in self._directory})
         self._reporter.meters.set_gauge('flows', len(self._flows))
@@ -336,6 +336,7 @@
 
     def _handle_retransmission(self, flow: Flow, now_ms: float) -> None:
         if self._is_excused(flow, 'requests_unanswered', now_ms):
+            # Counted by the flow already, but it is no evidence.
             flow.retransmissions -= 1
             return
         load = self.loads.get_or_create(flow.upstream.token)
--- a/src/cardamomtiller/forwarding/warmup/gate.py
+++ b/src/cardamomtiller/forwarding/warmup/gate.py
@@ -1,8 +1,8 @@
 """Gate that keeps the requests of upstreams in slow start within their quota.
 
-The quota holds for any second and for all instances together. Not quite half of it is dealt as
-permits (``holders``), and each permit allows one request in a window that is longer than
-a second (``sendrecord``). The rest is for instances that do not know of each other,
+The quota holds for any second and for all instances together. Not quite half of it is
+dealt as permits (``holders``), and each permit allows one request in a window that is
+longer than a second (``sendrecord``). The rest is for instances that do not know of each other,
 such as two parts of a split failure domain of which all members have restarted, and for
 requests on open flows that reach the upstream through instances without a part.
 """
@@ -27,7 +27,8 @@
 from cardamomtiller.forwarding.warmup.sendrecord import SendRecord
 from cardamomtiller.forwarding.warmup.slowstart import SlowStarts
 
-# Less than half, because tables of two parts may lack a few members besides.
+# Share of the quota that is dealt as permits. Below half, so that both sides of a split
+# domain stay within the quota together, even if their member tables differ.
 PERMIT_SHARE = 0.45
 
 
@@ -205,8 +206,9 @@
         }
         for token, ended in self._reported.items():
             if token not in limited:
+                change = self._change(ended, now_ms, is_begin=False)
                 self._parts.pop(token, None)
-                yield self._change(ended, now_ms, is_begin=False)
+                yield change
         for token, begun in limited.items():
             if token not in self._reported:
                 yield self._change(begun, now_ms, is_begin=True)
--- a/src/cardamomtiller/forwarding/warmup/sendrecord.py
+++ b/src/cardamomtiller/forwarding/warmup/sendrecord.py
@@ -7,8 +7,8 @@
 from cardamomtiller.forwarding.packet import Token
 from cardamomtiller.ids import MS_PER_S
 
-# Longest difference between the delays of two packets on their way: up to 100 ms in the
-# network, and up to 160 ms in a batch of 64 packets on an instance with 0.04 cores.
+# Bound on the difference between the delays of two packets, in the network and in a
+# batch on a slow instance (docs/design/slow-start-quota.md).
 DELAY_MARGIN_MS = 300.0
 # Requests that are sent at least this long apart do not arrive within one second.
 WINDOW_MS = MS_PER_S + DELAY_MARGIN_MS
--- a/tests/features/forwarding_link.feature
+++ b/tests/features/forwarding_link.feature
@@ -27,6 +27,7 @@
     Then a link slower than stated carries transfers sooner than without a queue
     And a faster link, and one that loses packets, carries them in time
     And the rate stays within its bounds, and a silent upstream does not change it
+    And a link that grows beyond the rate without pacing is paced and lowered again
 
   Scenario: Pacing costs time where the link is wide
     Then a wide link lets all packets pass without a wake-up
--- a/tests/features/steps/forwarding_link_steps.py
+++ b/tests/features/steps/forwarding_link_steps.py
@@ -228,3 +228,17 @@
         assert queue.put(payload(FIRST, number * PAYLOAD_BYTES), 0) is PutResult.READY
     assert len(list(queue.due(0))) == 64
     assert queue.next_due_ms(0) is None and queue.backlog_ms(0) == 0
+
+
+@then('a link that grows beyond the rate without pacing is paced and lowered again')
+def step_paced_again(context):
+    rate = LinkRate(DEFAULT_RATE.unpaced_bytes_per_ms * 0.9, DEFAULT_RATE)
+    for number in range(DEFAULT_RATE.sample_packets * 10):
+        rate.record_busy(100)
+        rate.record_sent(number)
+    assert rate.bytes_per_ms > DEFAULT_RATE.unpaced_bytes_per_ms
+    assert not rate.is_unpaced
+    rate.record_losses(DEFAULT_RATE.sample_packets)
+    for _ in range(DEFAULT_RATE.sample_packets):
+        rate.record_sent(0)
+    assert rate.bytes_per_ms < DEFAULT_RATE.unpaced_bytes_per_ms
