--- a/review/standins2/standins.py
+++ b/review/standins2/standins.py
@@ -73,15 +73,18 @@
 
         self._server = ThreadingHTTPServer((host, 0), Handler)
         self._server.daemon_threads = True
+        # Clients that were killed reset their connections.
+        self._server.handle_error = lambda *_: None
         self.address = '%s:%d' % self._server.server_address[:2]
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
     def put(self, key, value):
-        """Write an item; the return is the acknowledgement."""
+        """Write an item, bytes as they are; the return is the acknowledgement."""
         with self._changed:
             self._revision += 1
             created = self._items.get(key, {}).get('create_revision', self._revision)
-            item = {'key': key, 'value': base64.b64encode(json.dumps(value).encode()).decode(),
+            raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+            item = {'key': key, 'value': base64.b64encode(raw).decode(),
                     'revision': self._revision, 'create_revision': created, 'lease': 0}
             self._items[key] = item
             self._history.append(item)
@@ -103,8 +106,12 @@
         if url.path == '/kv-range':
             with self._changed:
                 keys = sorted(k for k in self._items if k.startswith(prefix) and k > query.get('after', ''))
-                body = {'items': [self._items[k] for k in keys[:50]],
-                        'has_more': len(keys) > 50, 'as_of': self._revision}
+                page, size = [], 0
+                # At most about 500 items or 1 MB.
+                while keys[len(page):] and len(page) < 500 and size < 1_000_000:
+                    page.append(self._items[keys[len(page)]])
+                    size += len(page[-1]['value'])
+                body = {'items': page, 'has_more': len(keys) > len(page), 'as_of': self._revision}
         else:
             after, until = int(query['after']), time.monotonic() + int(query['wait_ms']) / 1000
             with self._changed:
